--- a/burdockmill/clients/_recent_first_connector.py
+++ b/burdockmill/clients/_recent_first_connector.py
@@ -6,7 +6,9 @@
 from time import monotonic
 from typing import TYPE_CHECKING
 
-from aiohttp import ClientConnectionError, ClientTimeout, TCPConnector
+from aiohttp import ClientConnectionError, ClientTimeout
+
+from burdockmill.clients._watchful_connector import WatchfulConnector
 
 if TYPE_CHECKING:
     from collections import Counter
@@ -25,7 +27,7 @@
 JITTER_FRACTION = 0.5
 
 
-class RecentFirstConnector(TCPConnector):
+class RecentFirstConnector(WatchfulConnector):
     """Pool at most `limit` connections."""
 
     def __init__(self, limit: int, counts: Counter[str]) -> None:
--- a/burdockmill/clients/_upstream_health.py
+++ b/burdockmill/clients/_upstream_health.py
@@ -55,7 +55,7 @@
 
 
 async def _exchange(session: WriteOnceSession) -> UpstreamHealth:
-    status, body = await session.get("/v1/health")
-    if status != OK:
+    told = await session.get("/v1/health")
+    if told.status != OK:
         raise WrongAnswerError("status")
-    return _DECODER.decode(body)
+    return _DECODER.decode(told.body)
--- a/burdockmill/clients/_upstream_pool.py
+++ b/burdockmill/clients/_upstream_pool.py
@@ -15,6 +15,7 @@
     from collections import Counter
     from collections.abc import Iterator
 
+    from burdockmill.names import Address
     from burdockmill.rules.model import UpstreamRule
 
 WARM_UP_TIMEOUT_S = 1.0
@@ -22,13 +23,13 @@
 
 
 class UpstreamPool:
-    """Hold at most a share of an upstream's connections."""
+    """Hold at most `limit` connections to an address."""
 
-    def __init__(self, rule: UpstreamRule, share: float, counts: Counter[str]) -> None:
-        self.address = rule.address
-        self.connector = RecentFirstConnector(limit_of(rule, share), counts)
+    def __init__(self, address: Address, limit: int, counts: Counter[str]) -> None:
+        self.address = address
+        self.connector = RecentFirstConnector(limit, counts)
         self._counts = counts
-        self._session = WriteOnceSession(rule.address, self.connector)
+        self._session = WriteOnceSession(address, self.connector)
         self._users: set[asyncio.Task] = set()
 
     @contextmanager
@@ -52,9 +53,9 @@
         except (TimeoutError, ClientError, OSError):
             self._counts["warm_up_failed"] += 1
 
-    def resize(self, rule: UpstreamRule, share: float) -> None:
-        """Follow a changed rule; connections above the new limit close once idle."""
-        self.connector.resize(limit_of(rule, share))
+    def resize(self, limit: int) -> None:
+        """Change the limit; connections above it close once idle."""
+        self.connector.resize(limit)
 
     def rest(self) -> int:
         """Close what is idle, and the rest once it is; return how many were idle."""
--- a/burdockmill/clients/peer_client.py
+++ b/burdockmill/clients/peer_client.py
@@ -7,12 +7,14 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from aiohttp import ClientConnectorError, ClientError, TCPConnector
+from aiohttp import ClientConnectorError, ClientError
 
 from burdockmill.clients._upstream_codec import WrongAnswerError
+from burdockmill.clients._watchful_connector import WatchfulConnector
 from burdockmill.clients.write_once_session import WriteOnceSession
 from burdockmill.errors import Ran
 from burdockmill.explanation import Explanation
+from burdockmill.messages.catalog import CatalogAsk, CatalogOffer
 from burdockmill.messages.events import PeerDelivered, PeerUnreachable
 from burdockmill.messages.fleet import (
     ChunkAsk,
@@ -76,6 +78,8 @@
     RulesOffer: "rules_offers",
     ChunkAsk: "chunk_asks",
     ChunkText: "chunk_texts",
+    CatalogAsk: "catalog_asks",
+    CatalogOffer: "catalog_offers",
     SessionAsk: "session_asks",
     SessionTold: "sessions_told",
     ActionRequest: "action_requests",
@@ -221,7 +225,7 @@
     def _session_of(self, address: Address) -> WriteOnceSession:
         session = self._session_by_address.get(address)
         if session is None:
-            connector = TCPConnector(limit=CONNECTIONS_A_PEER, use_dns_cache=False)
+            connector = WatchfulConnector(limit=CONNECTIONS_A_PEER, use_dns_cache=False)
             session = WriteOnceSession(address, connector)
             self._session_by_address[address] = session
             self._forget_sessions()
--- a/burdockmill/clients/upstream_client.py
+++ b/burdockmill/clients/upstream_client.py
@@ -17,7 +17,7 @@
     read_answer,
 )
 from burdockmill.clients._upstream_health import read_health
-from burdockmill.clients._upstream_pool import UpstreamPool
+from burdockmill.clients._upstream_pool import UpstreamPool, limit_of
 from burdockmill.messages.events import (
     HealthRead,
     UpstreamAnswered,
@@ -96,7 +96,7 @@
         if pool is None:
             return
         if pool.address == rule.address:
-            pool.resize(rule, self._share)
+            pool.resize(limit_of(rule, self._share))
         else:
             self._retire(rule.name)
 
@@ -169,10 +169,10 @@
         self, session: WriteOnceSession, attempt: Attempt
     ) -> AttemptEvent:
         send = attempt.send
-        status, body = await session.post(
+        told = await session.post(
             PATH_BY_KIND[send.kind], encode_request(send), attempt.start_write
         )
-        return read_answer(send, status, body)
+        return read_answer(send, told.status, told.body)
 
     def _finish(self, attempt: Attempt, task: asyncio.Task) -> None:
         key = (attempt.send.request_id, attempt.send.attempt)
@@ -214,7 +214,8 @@
         pool = self._pool_by_upstream.get(upstream)
         rule = self._rule_by_upstream.get(upstream)
         if pool is None and rule is not None:
-            pool = UpstreamPool(rule, self._share, self.counts)
+            limit = limit_of(rule, self._share)
+            pool = UpstreamPool(rule.address, limit, self.counts)
             self._pool_by_upstream[upstream] = pool
         return pool
 
--- a/burdockmill/clock.py
+++ b/burdockmill/clock.py
@@ -24,6 +24,14 @@
         return time.monotonic_ns() / NANOSECONDS_PER_MILLISECOND
 
 
+class BootClock(Clock):
+    """Tell the time since the machine started, its suspensions included."""
+
+    def now_ms(self) -> float:
+        """Return milliseconds of the system's boot-time clock."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / NANOSECONDS_PER_MILLISECOND
+
+
 class VirtualClock(Clock):
     """Tell a time that moves only when told to."""
 
--- /dev/null
+++ b/burdockmill/decision.py
@@ -0,0 +1,22 @@
+"""Record one decision for logs and explanations."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from burdockmill.messages.actions import NO_INPUTS
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+class Decision(NamedTuple):
+    """Record one decision; `at_ms` is this host's clock in milliseconds."""
+
+    at_ms: float
+    part: str
+    request_id: str
+    choice: str
+    reason: str
+    passed_over: tuple[str, ...]
+    inputs: Mapping[str, object] = NO_INPUTS
--- /dev/null
+++ b/burdockmill/engine_pump.py
@@ -0,0 +1,67 @@
+"""Run an engine's ticks on the event loop, when events arrive or time is due."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+if TYPE_CHECKING:
+    from collections import Counter
+    from collections.abc import Callable
+
+    from burdockmill.clock import Clock
+    from burdockmill.engine import Engine
+    from burdockmill.messages.actions import Action
+    from burdockmill.messages.events import Event
+
+MILLISECONDS_PER_SECOND = 1_000
+
+
+class EnginePump:
+    """Tick an engine soon after each event and at each due time."""
+
+    def __init__(
+        self,
+        engine: Engine,
+        clock: Clock,
+        carry_out: Callable[[list[Action], float], None],
+        counts: Counter[str],
+    ) -> None:
+        self._engine = engine
+        self._clock = clock
+        self._carry_out = carry_out
+        self._counts = counts
+        self._is_due = False
+        self._timer: asyncio.TimerHandle | None = None
+
+    def post(self, event: Event) -> None:
+        """Queue an event for the next tick."""
+        self._engine.post(event)
+        if not self._is_due:
+            self._is_due = True
+            asyncio.get_running_loop().call_soon(self._tick)
+
+    def close(self) -> None:
+        """Run no tick that is due later."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _tick(self) -> None:
+        self._is_due = False
+        now_ms = self._clock.now_ms()
+        try:
+            self._carry_out(self._engine.tick(now_ms), now_ms)
+        except Exception:
+            self._counts["ticks_failed"] += 1
+            logger.exception("core: a tick failed.")
+        self._set_timer(now_ms)
+
+    def _set_timer(self, now_ms: float) -> None:
+        self.close()
+        due_ms = self._engine.next_due_ms()
+        if due_ms is not None:
+            wait_s = max(0.0, due_ms - now_ms) / MILLISECONDS_PER_SECOND
+            self._timer = asyncio.get_running_loop().call_later(wait_s, self._tick)
--- a/burdockmill/errors.py
+++ b/burdockmill/errors.py
@@ -179,6 +179,30 @@
     remedy = "Slow down; retry after retry_after_ms."
 
 
+class UnknownRouteError(BurdockmillError):
+    """Refuse a request that no route takes."""
+
+    kind = "unknown_route"
+    status = 404
+    remedy = "Use a host and path that the configuration routes."
+
+
+class NoReplicaError(BurdockmillError):
+    """Refuse a request for which no upstream is known."""
+
+    kind = "no_replica"
+    status = 503
+    remedy = "Retry after retry_after_ms; the service has no upstream now."
+
+
+class UpstreamFailedError(BurdockmillError):
+    """Report that an upstream may have run a request and its answer was lost."""
+
+    kind = "upstream_failed"
+    status = 502
+    remedy = "Retry if the request may run twice."
+
+
 class DeadlineExceededError(BurdockmillError):
     """Report that the deadline passed first."""
 
--- a/burdockmill/explanation.py
+++ b/burdockmill/explanation.py
@@ -7,8 +7,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from burdockmill.decision import Decision
     from burdockmill.names import HostId, RequestId
-    from burdockmill.surfaces.gateway import Decision
 
 
 class ExplainedDecision(TypedDict):
--- /dev/null
+++ b/burdockmill/forwarding/codecs.py
@@ -0,0 +1,59 @@
+"""State how requests are read from clients and written to upstreams."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from aiohttp import web
+    from multidict import CIMultiDict
+
+    from burdockmill.clients.write_once_session import Exchanged
+    from burdockmill.errors import BurdockmillError
+    from burdockmill.forwarding.messages import (
+        AttemptOutcome,
+        ForwardedRequest,
+        MergedAnswer,
+        Registration,
+        UpstreamAnswer,
+    )
+    from burdockmill.names import RequestId
+
+
+class IngressCodec(ABC):
+    """Read clients' requests and write their answers."""
+
+    @abstractmethod
+    async def read(self, request: web.BaseRequest, now_ms: float) -> ForwardedRequest:
+        """Return a request that was read whole; raise a BurdockmillError."""
+
+    @abstractmethod
+    def response(self, result: UpstreamAnswer | MergedAnswer) -> web.Response:
+        """Return the response that carries an answer."""
+
+    @abstractmethod
+    def error_response(
+        self, error: BurdockmillError, request_id: RequestId
+    ) -> web.Response:
+        """Return the response that carries a refusal or failure."""
+
+
+class UpstreamCodec(ABC):
+    """Write attempts to upstreams and read what they answer."""
+
+    @abstractmethod
+    def headers(
+        self, request: ForwardedRequest, upstream: Registration, left_ms: float
+    ) -> CIMultiDict[str]:
+        """Return the headers of an attempt that has `left_ms` milliseconds left."""
+
+    @abstractmethod
+    def is_own(self, request: ForwardedRequest, headers: Mapping[str, str]) -> bool:
+        """Tell whether response headers belong to a request."""
+
+    @abstractmethod
+    def outcome(self, exchanged: Exchanged) -> AttemptOutcome:
+        """Return what a whole response means."""
--- /dev/null
+++ b/burdockmill/forwarding/forwarder.py
@@ -0,0 +1,212 @@
+"""Carry out the runs of requests: attempts, timers, and answers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from itertools import count
+from typing import TYPE_CHECKING
+
+from burdockmill.errors import BurdockmillError, NotReadyError, UnknownRouteError
+from burdockmill.forwarding.actions import Conclude, SendAttempt, WithdrawAttempt
+from burdockmill.forwarding.messages import AttemptEnd, MergedAnswer, UpstreamAnswer
+from burdockmill.forwarding.request_run import RequestRun
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from burdockmill.clients.forwarding_client import ForwardingClient, Sending
+    from burdockmill.clock import Clock
+    from burdockmill.forwarding.actions import RunAction
+    from burdockmill.forwarding.merge_policy import MergePolicy
+    from burdockmill.forwarding.messages import AttemptOutcome, ForwardedRequest
+    from burdockmill.forwarding.planner import Planner
+    from burdockmill.forwarding.request_log import RequestLog
+    from burdockmill.forwarding.routes import Route
+    from burdockmill.forwarding.weighted_choice import WeightedChoices
+    from burdockmill.names import ServiceId
+    from burdockmill.tables.catalog import Catalog
+
+    Result = UpstreamAnswer | MergedAnswer
+
+MILLISECONDS_PER_SECOND = 1_000
+# An attempt that is no longer needed may still finish and leave its connection in
+# order; after this its upstream is paused or worse, and the connection is closed.
+UNNEEDED_LIMIT_MS = 250.0
+RETRY_AFTER_START_MS = 100
+
+
+class Forwarder:
+    """Forward requests along the routes of the catalog in force."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        catalog: Catalog,
+        planner: Planner,
+        choices: WeightedChoices,
+        merge: MergePolicy,
+        client: ForwardingClient,
+        log: RequestLog,
+    ) -> None:
+        self.counts: Counter[str] = Counter()
+        self.open_runs: set[_Drive] = set()
+        self.clock = clock
+        self.planner = planner
+        self.client = client
+        self.log = log
+        self._catalog = catalog
+        self._keys = count()
+        self._choices = choices
+        self._merge = merge
+
+    def next_key(self) -> int:
+        """Return a number for an attempt that no other has on this host."""
+        return next(self._keys)
+
+    async def forward(self, request: ForwardedRequest) -> Result:
+        """Return a request's answer; raise a BurdockmillError."""
+        route = self._route_of(request)
+        run = RequestRun(
+            request, route, self._services_of(route), self.planner, self._merge
+        )
+        drive = _Drive(self, run)
+        self.open_runs.add(drive)
+        try:
+            result = await drive.run()
+        except asyncio.CancelledError:
+            self.counts["clients_gone"] += 1
+            drive.give_up()
+            self.log.left(run, self.clock.now_ms())
+            raise
+        finally:
+            self.open_runs.discard(drive)
+        if isinstance(result, BurdockmillError):
+            raise result
+        return result
+
+    def _route_of(self, request: ForwardedRequest) -> Route:
+        if self._catalog.tables is None:
+            raise NotReadyError(
+                "No configuration is known yet.", retry_after_ms=RETRY_AFTER_START_MS
+            )
+        route = self._catalog.routes.find(request.host, request.target)
+        if route is None:
+            raise UnknownRouteError(
+                f"No route of version {self._catalog.tables.version} takes "
+                f"{request.host}{request.target}."
+            )
+        return route
+
+    def _services_of(self, route: Route) -> tuple[ServiceId, ...]:
+        if route.shards is not None:
+            return route.shards.services
+        return (self._choices.service_of(route),)
+
+
+class _Drive:
+    """Carry out one run; attempts it leaves behind end on their own."""
+
+    def __init__(self, forwarder: Forwarder, run: RequestRun) -> None:
+        self._forwarder = forwarder
+        self._run = run
+        self._loop = asyncio.get_running_loop()
+        self._done: asyncio.Future[Result | BurdockmillError] = (
+            self._loop.create_future()
+        )
+        self._sending_by_attempt: dict[int, Sending] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def run(self) -> Result | BurdockmillError:
+        """Return the result once the run concludes."""
+        now_ms = self._forwarder.clock.now_ms()
+        self._carry_out(self._run.start(now_ms), now_ms)
+        return await self._done
+
+    def give_up(self) -> None:
+        """Stop every attempt, since the client has left."""
+        self._run.concluded = True
+        self._stop_timer()
+        for sending in list(self._sending_by_attempt.values()):
+            sending.cancel()
+
+    def _carry_out(self, actions: Iterable[RunAction], now_ms: float) -> None:
+        for action in actions:
+            match action:
+                case SendAttempt():
+                    self._send(action, now_ms)
+                case WithdrawAttempt():
+                    self._withdraw(action.attempt)
+                case Conclude():
+                    self._conclude(action, now_ms)
+        self._set_timer(now_ms)
+
+    def _send(self, action: SendAttempt, now_ms: float) -> None:
+        forwarder = self._forwarder
+        key = forwarder.next_key()
+        observation = forwarder.planner.observations.of(action.upstream.upstream)
+        observation.started(key, now_ms)
+        forwarder.log.sent(self._run, action, now_ms)
+
+        def on_end(outcome: AttemptOutcome) -> None:
+            self._ended(action, key, outcome)
+
+        self._sending_by_attempt[action.attempt] = forwarder.client.send(
+            self._run.request, action, on_end
+        )
+
+    def _ended(self, action: SendAttempt, key: int, outcome: AttemptOutcome) -> None:
+        forwarder = self._forwarder
+        now_ms = forwarder.clock.now_ms()
+        del self._sending_by_attempt[action.attempt]
+        observations = forwarder.planner.observations
+        was_needed = not self._run.is_settled(action.part)
+        end = outcome.end
+        if end is AttemptEnd.NOT_SENT and not was_needed:
+            # Withdrawn before it was written: this says nothing of the upstream.
+            observations.of(action.upstream.upstream).dropped(key)
+        else:
+            took_ms = observations.of(action.upstream.upstream).ended(key, end, now_ms)
+            answers = end in (AttemptEnd.ANSWERED, AttemptEnd.SILENT)
+            if took_ms is not None and answers:
+                forwarder.planner.learn_latency(
+                    self._run.route, action.upstream, took_ms
+                )
+        self._carry_out(self._run.ended(action.attempt, outcome, now_ms), now_ms)
+        forwarder.log.ended(self._run, action, outcome, now_ms)
+
+    def _withdraw(self, attempt: int) -> None:
+        sending = self._sending_by_attempt.get(attempt)
+        if sending is None:
+            return
+        if sending.written:
+            self._loop.call_later(
+                UNNEEDED_LIMIT_MS / MILLISECONDS_PER_SECOND, sending.cancel
+            )
+        else:
+            sending.cancel()
+
+    def _conclude(self, action: Conclude, now_ms: float) -> None:
+        self._stop_timer()
+        for attempt in list(self._sending_by_attempt):
+            self._withdraw(attempt)
+        self._forwarder.log.concluded(self._run, action, now_ms)
+        if not self._done.done():
+            self._done.set_result(action.result)
+
+    def _set_timer(self, now_ms: float) -> None:
+        self._stop_timer()
+        due_ms = self._run.next_due_ms
+        if due_ms is not None:
+            wait_s = max(0.0, due_ms - now_ms) / MILLISECONDS_PER_SECOND
+            self._timer = self._loop.call_later(wait_s, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        now_ms = self._forwarder.clock.now_ms()
+        self._carry_out(self._run.tick(now_ms), now_ms)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
--- /dev/null
+++ b/burdockmill/forwarding/planner.py
@@ -0,0 +1,97 @@
+"""Decide which upstream an attempt goes to, and whether a repeat is affordable."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from burdockmill.policies.hedge_timing import hedge_delay_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection, Iterable
+
+    from burdockmill.forwarding.messages import AttemptKind, Registration
+    from burdockmill.forwarding.observations import Observations
+    from burdockmill.forwarding.routes import Route
+    from burdockmill.names import DomainId, ServiceId, UpstreamId
+    from burdockmill.policies.repeat_budget import RepeatBudget
+    from burdockmill.policies.replica_choice import Candidate, ReplicaChoice
+
+
+class Choice(NamedTuple):
+    """Hold the chosen upstream and what the next best one is expected to need."""
+
+    upstream: Registration
+    expected_ms: float
+    alternative_ms: float | None
+
+
+class Planner:
+    """Choose upstreams for the runs of all requests of this host."""
+
+    def __init__(
+        self,
+        domain: DomainId,
+        replicas_of: Callable[[ServiceId], Iterable[Registration]],
+        choice: ReplicaChoice,
+        budget: RepeatBudget,
+        observations: Observations,
+    ) -> None:
+        self.budget = budget
+        self.observations = observations
+        self._domain = domain
+        self._replicas_of = replicas_of
+        self._choice = choice
+
+    def choose(
+        self,
+        service: ServiceId,
+        passed_over: Collection[UpstreamId],
+        is_idempotent: bool,
+        now_ms: float,
+    ) -> Choice | None:
+        """Return the upstream for an attempt, or None when there is none."""
+        ranked = self._rank(service, passed_over, is_idempotent, now_ms)
+        if not ranked:
+            return None
+        best = ranked[0]
+        alternative_ms = ranked[1].expected_ms if len(ranked) > 1 else None
+        return Choice(best.registration, best.expected_ms, alternative_ms)
+
+    def to_probe(
+        self, service: ServiceId, chosen: UpstreamId, now_ms: float
+    ) -> Registration | None:
+        """Return a suspect upstream that a copy of a request may test, if any."""
+        for replica in self._replicas_of(service):
+            if replica.draining or replica.upstream == chosen:
+                continue
+            if self.observations.of(replica.upstream).may_probe(now_ms):
+                return replica
+        return None
+
+    def hedge_delay_ms(self, route: Route, choice: Choice, left_ms: float) -> float:
+        """Return how long to wait for an attempt before a hedge."""
+        is_local = choice.upstream.domain == self._domain
+        latencies = self.observations.latencies(route.name, is_local)
+        alternative_ms = choice.alternative_ms or 0.0
+        return hedge_delay_ms(latencies, route.latency_goal_ms, left_ms, alternative_ms)
+
+    def learn_latency(
+        self, route: Route, upstream: Registration, took_ms: float
+    ) -> None:
+        """Note how long an attempt took that was answered."""
+        is_local = upstream.domain == self._domain
+        self.observations.latencies(route.name, is_local).add(took_ms)
+
+    def may_repeat(self, service: ServiceId, kind: AttemptKind) -> bool:
+        """Pay for a repeat; tell whether the budget allows it."""
+        return self.budget.spend(service, kind)
+
+    def _rank(
+        self,
+        service: ServiceId,
+        passed_over: Collection[UpstreamId],
+        is_idempotent: bool,
+        now_ms: float,
+    ) -> list[Candidate]:
+        replicas = self._replicas_of(service)
+        return self._choice.rank(replicas, passed_over, is_idempotent, now_ms)
--- /dev/null
+++ b/burdockmill/forwarding/request_log.py
@@ -0,0 +1,160 @@
+"""Log what was decided for forwarded requests, with what it was decided on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from burdockmill.errors import BurdockmillError
+from burdockmill.forwarding.messages import AttemptEnd, AttemptKind, MergedAnswer
+from burdockmill.messages.actions import LogDecision
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from burdockmill.decision_log import DecisionLog
+    from burdockmill.forwarding.actions import Conclude, SendAttempt
+    from burdockmill.forwarding.messages import AttemptOutcome
+    from burdockmill.forwarding.planner import Planner
+    from burdockmill.forwarding.request_run import RequestRun
+    from burdockmill.metrics import Metrics
+    from burdockmill.world import World
+
+SEARCH, FORWARD = "search", "forward"
+
+
+class RequestLog:
+    """Write a line a decision, and count each answer by its outcome."""
+
+    def __init__(
+        self,
+        world: World,
+        planner: Planner,
+        decisions: DecisionLog,
+        metrics: Metrics,
+        flush_soon: Callable[[], None],
+    ) -> None:
+        self._world = world
+        self._planner = planner
+        self._decisions = decisions
+        self._metrics = metrics
+        self._flush_soon = flush_soon
+
+    def sent(self, run: RequestRun, action: SendAttempt, now_ms: float) -> None:
+        """Log an attempt beyond the first of its part; the answer lists the first."""
+        if action.kind is AttemptKind.FIRST:
+            return
+        part = run.parts[action.part]
+        upstream = action.upstream.upstream
+        inputs = {
+            "service": part.service,
+            "upstream": upstream,
+            "since_received_ms": _since(run, now_ms),
+            "budget_left": round(self._planner.budget.held(part.service), 1),
+            "latency_ms": _rounded(self._planner.observations.of(upstream).latency_ms),
+            "others": _attempts(part.attempts[:-1], run),
+        }
+        choice = f"sent to {upstream}"
+        self._write(action.kind.value, run, choice, "", inputs, now_ms)
+
+    def ended(
+        self,
+        run: RequestRun,
+        action: SendAttempt,
+        outcome: AttemptOutcome,
+        now_ms: float,
+    ) -> None:
+        """Log an attempt that brought no answer."""
+        if outcome.end is AttemptEnd.ANSWERED or run.concluded:
+            return
+        if outcome.end is AttemptEnd.NOT_SENT and run.is_settled(action.part):
+            return
+        inputs = {
+            "service": run.parts[action.part].service,
+            "kind": action.kind.value,
+            "since_received_ms": _since(run, now_ms),
+        }
+        choice = f"{outcome.end.value} at {action.upstream.upstream}"
+        self._write("attempt", run, choice, outcome.detail, inputs, now_ms)
+
+    def concluded(self, run: RequestRun, action: Conclude, now_ms: float) -> None:
+        """Log an answer with all attempts that led to it."""
+        result = action.result
+        outcome, choice = _outcome_of(run, result)
+        took_ms = now_ms - run.request.received_ms
+        kind = FORWARD if run.route.shards is None else SEARCH
+        self._metrics.observe(kind, outcome, took_ms)
+        catalog = self._world.catalog
+        confirmed_age_ms = now_ms - self._world.fleet.confirmed_ms
+        inputs = {
+            "route": run.route.name,
+            "configuration": catalog.tables.version if catalog.tables else 0,
+            "catalog_revision": catalog.revision,
+            "catalog_age_ms": round(confirmed_age_ms),
+            "took_ms": round(took_ms, 1),
+            "goal_ms": run.route.latency_goal_ms,
+            "deadline_in_ms": round(run.request.deadline_ms - now_ms, 1),
+            "attempts": [
+                attempt
+                for part in run.parts
+                for attempt in _attempts(part.attempts, run)
+            ],
+        }
+        self._write("answer", run, choice, action.note, inputs, now_ms)
+
+    def left(self, run: RequestRun, now_ms: float) -> None:
+        """Log that a client left before its answer."""
+        took_ms = now_ms - run.request.received_ms
+        kind = FORWARD if run.route.shards is None else SEARCH
+        self._metrics.observe(kind, "client_left", took_ms)
+        inputs = {"took_ms": round(took_ms, 1), "route": run.route.name}
+        choice = "stopped all attempts"
+        self._write("answer", run, choice, "the client left", inputs, now_ms)
+
+    def _write(
+        self,
+        part: str,
+        run: RequestRun,
+        choice: str,
+        reason: str,
+        inputs: Mapping[str, object],
+        now_ms: float,
+    ) -> None:
+        request_id = run.request.request_id
+        made = LogDecision(part, request_id, choice, reason, inputs=inputs)
+        self._decisions.add(made, now_ms)
+        self._flush_soon()
+
+
+def _outcome_of(run: RequestRun, result: object) -> tuple[str, str]:
+    match result:
+        case BurdockmillError():
+            ran = f"ran: {result.ran.value}"
+            return result.kind, f"{result.status} {result.kind} ({ran})"
+        case MergedAnswer(missing=0):
+            return "complete", f"all {len(run.parts)} shards"
+        case MergedAnswer():
+            covered = len(run.parts) - result.missing
+            return "partial", f"{covered} of {len(run.parts)} shards"
+    return "answered", "the upstream's answer"
+
+
+def _attempts(rows: list, run: RequestRun) -> list[list[object]]:
+    """Return upstream, kind, when sent, how long it took, and its end, by attempt."""
+    return [
+        [
+            row.upstream.upstream,
+            row.kind.value,
+            _since(run, row.sent_ms),
+            _rounded(row.took_ms),
+            row.outcome.end.value if row.outcome else "open",
+        ]
+        for row in rows
+    ]
+
+
+def _since(run: RequestRun, at_ms: float) -> float:
+    return round(at_ms - run.request.received_ms, 1)
+
+
+def _rounded(value: float | None) -> float | None:
+    return None if value is None else round(value, 1)
--- /dev/null
+++ b/burdockmill/forwarding/routes.py
@@ -0,0 +1,97 @@
+"""Describe routes, and find the one that a request takes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from burdockmill.names import Revision, ServiceId
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+
+class WeightedService(NamedTuple):
+    """Give a service its share of a route's requests."""
+
+    service: ServiceId
+    weight: float
+
+
+class ShardSet(NamedTuple):
+    """Name the services that hold one shard each of a searched index."""
+
+    services: tuple[ServiceId, ...]
+    top_count: int
+    least_coverage: float
+
+
+class Route(NamedTuple):
+    """Say where requests under a host's prefix go; times in milliseconds.
+
+    `attempts_limit` bounds the upstreams that may run one request, for each shard.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    is_idempotent: bool
+    timeout_ms: float
+    latency_goal_ms: float
+    rank: int
+    attempts_limit: int
+    services: tuple[WeightedService, ...] = ()
+    shards: ShardSet | None = None
+
+
+class ServiceBounds(NamedTuple):
+    """Bound the connections that all callers together may open to an upstream."""
+
+    name: ServiceId
+    connections_limit: int
+    health_path: str
+
+
+class IngressLimits(NamedTuple):
+    """Bound what a client may send; sizes in bytes, times in milliseconds."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 262_144
+    header_timeout_ms: float = 5_000.0
+    idle_timeout_ms: float = 60_000.0
+
+
+class RoutingTables(NamedTuple):
+    """Hold one version of the operators' configuration."""
+
+    version: Revision
+    routes: tuple[Route, ...]
+    services: tuple[ServiceBounds, ...]
+    limits: IngressLimits
+
+
+class RouteIndex:
+    """Find the route with the longest prefix of a path."""
+
+    def __init__(self, routes: Iterable[Route]) -> None:
+        self._route_by_prefix_by_host: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            by_prefix = self._route_by_prefix_by_host.setdefault(route.host, {})
+            by_prefix[route.prefix] = route
+
+    def find(self, host: str, target: str) -> Route | None:
+        """Return the route of a request target, or None."""
+        by_prefix = self._route_by_prefix_by_host.get(host)
+        if by_prefix is None:
+            return None
+        for prefix in _prefixes(target.partition("?")[0]):
+            route = by_prefix.get(prefix)
+            if route is not None:
+                return route
+        return None
+
+
+def _prefixes(path: str) -> Iterator[str]:
+    end = path.rfind("/")
+    while end >= 0:
+        yield path[: end + 1]
+        end = path.rfind("/", 0, end)
--- /dev/null
+++ b/burdockmill/forwarding/settings.py
@@ -0,0 +1,103 @@
+"""Hold and check the settings of a host that forwards requests."""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, NamedTuple
+
+from msgspec import Meta
+from returns.result import Failure, Result, Success
+
+from burdockmill.names import Address, DomainId, HostId
+from burdockmill.rules.addresses import is_address
+from burdockmill.settings import LogLevel
+from burdockmill.settings_fields import (
+    CONTACT_REMEDY,
+    Field,
+    SettingProblem,
+    all_addresses,
+    listen_field,
+    name_field,
+    read_object,
+    whole_field,
+)
+
+
+class ForwardingSettings(NamedTuple):
+    """Hold a host's settings; times in milliseconds."""
+
+    host: HostId
+    domain: DomainId
+    region: str
+    ingress_address: Address
+    ready_address: Address
+    peer_address: Address
+    operator_address: Address
+    store_address: Address
+    seeds: tuple[Address, ...]
+    region_by_domain: dict[DomainId, str]
+    repeat_ratio: float
+    repeat_allowance: float
+    change_limit_ms: int
+    stop_grace_ms: int
+    balancer_lag_ms: int = 2_300
+    client_path_ms: float = 3.0
+    connections_limit: int = 2_000
+    lines_per_second: int = 300
+    remembered_decisions: int = 5_000
+    log_level: LogLevel = "INFO"
+    peer_key: str = ""
+    fault_switch: bool = False
+
+
+def _contact() -> Field:
+    return Field(str, CONTACT_REMEDY, required=True, accepts=is_address)
+
+
+def _number(lowest: float, remedy: str) -> Field:
+    return Field(Annotated[float, Meta(ge=lowest)], remedy)
+
+
+def _required(field: Field) -> Field:
+    return field._replace(required=True)
+
+
+FIELD_BY_KEY: dict[str, Field] = {
+    "host": Field(str, "give IP:PORT of the peers' address", required=True),
+    "domain": name_field(),
+    "region": name_field(),
+    "ingress_address": listen_field(),
+    "ready_address": listen_field(),
+    "peer_address": listen_field(),
+    "operator_address": listen_field(),
+    "store_address": _contact(),
+    "seeds": Field(
+        tuple[str, ...],
+        "give a list of IP:PORT, each port from 1 to 65535; it may be empty",
+        required=True,
+        accepts=all_addresses,
+    ),
+    "region_by_domain": Field(
+        dict[str, str], "give the region of each failure domain", required=True
+    ),
+    "repeat_ratio": _required(_number(0.0, "give a ratio of at least 0")),
+    "repeat_allowance": _required(_number(0.0, "give a number of at least 0")),
+    "change_limit_ms": _required(whole_field(100, 600_000)),
+    "stop_grace_ms": _required(whole_field(0, 600_000)),
+    "balancer_lag_ms": whole_field(0, 600_000),
+    "client_path_ms": _number(0.0, "give milliseconds of at least 0"),
+    "connections_limit": whole_field(1, 1_000_000),
+    "lines_per_second": whole_field(1, 1_000_000),
+    "remembered_decisions": whole_field(0, 1_000_000),
+    "log_level": Field(LogLevel, "give DEBUG, INFO, WARNING or ERROR"),
+}
+
+
+def check_forwarding_settings(
+    document: dict[str, Any],
+) -> Result[ForwardingSettings, tuple[SettingProblem, ...]]:
+    """Return the settings, or every wrong, missing or unknown key."""
+    problems: list[SettingProblem] = []
+    values = read_object("", document, FIELD_BY_KEY, problems)
+    if problems:
+        return Failure(tuple(problems))
+    return Success(ForwardingSettings(**values))
--- /dev/null
+++ b/burdockmill/forwarding_node.py
@@ -0,0 +1,346 @@
+"""Run one host that forwards requests: membership, catalog, and the data path."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import Counter
+from functools import partial
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from burdockmill._forwarding_reports import ForwardingReports
+from burdockmill._forwarding_stop import ForwardingStop
+from burdockmill._line_writer import LineWriter
+from burdockmill.clients.catalog_reader import CatalogReader
+from burdockmill.clients.forwarding_client import ForwardingClient
+from burdockmill.clients.peer_client import PeerClient, messages_of
+from burdockmill.clock import BootClock
+from burdockmill.core import make_fleet_engine
+from burdockmill.decision_log import DecisionLog
+from burdockmill.engine_pump import EnginePump
+from burdockmill.errors import Ran, StoppingError
+from burdockmill.forwarding.forwarder import Forwarder
+from burdockmill.forwarding.merge_policy import GreatestRecords
+from burdockmill.forwarding.observations import Observations
+from burdockmill.forwarding.planner import Planner
+from burdockmill.forwarding.request_log import RequestLog
+from burdockmill.forwarding.routes import IngressLimits
+from burdockmill.forwarding.weighted_choice import WeightedChoices
+from burdockmill.messages.actions import Announce, LogDecision, SendToPeer
+from burdockmill.messages.events import (
+    CatalogChanged,
+    HostStarted,
+    HostStopping,
+    PeerReceived,
+    PeerUnreachable,
+)
+from burdockmill.metrics import Metrics
+from burdockmill.policies.connection_share import connection_share
+from burdockmill.policies.repeat_budget import RepeatBudget, RepeatLimits
+from burdockmill.policies.replica_choice import ExpectedLatencyChoice
+from burdockmill.surfaces._bounded_server import ServerBounds
+from burdockmill.surfaces.host_gateway import HostGateway
+from burdockmill.surfaces.ingress import Ingress, ready_app
+from burdockmill.surfaces.listener import Listener
+from burdockmill.surfaces.operator import operator_app
+from burdockmill.surfaces.peer import peer_app
+from burdockmill.systems._ring import Ring
+from burdockmill.tables.rows import MemberRow
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine, Iterable, Mapping
+
+    from aiohttp import web
+
+    from burdockmill.clients.catalog_source import CatalogSource
+    from burdockmill.clock import Clock
+    from burdockmill.explanation import Explanation
+    from burdockmill.forwarding.codecs import IngressCodec, UpstreamCodec
+    from burdockmill.forwarding.messages import Registration
+    from burdockmill.forwarding.settings import ForwardingSettings
+    from burdockmill.messages.actions import Action
+    from burdockmill.messages.events import Event
+    from burdockmill.messages.peer import PeerBatch
+    from burdockmill.names import Address, HostId, RequestId, ServiceId
+
+MILLISECONDS_PER_SECOND = 1_000
+# Decisions are written to the log together this often.
+FLUSH_MS = 100.0
+DEFAULT_CONNECTIONS = 16
+
+
+class ForwardingNode(HostGateway):
+    """Run one host: its core, its clients and its surfaces."""
+
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        source: CatalogSource,
+        ingress_codec: IngressCodec,
+        upstream_codec: UpstreamCodec,
+        log_writer: LineWriter | None = None,
+        clock: Clock | None = None,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock or BootClock()
+        self.metrics = Metrics(settings.host)
+        self.counts: Counter[str] = Counter()
+        self.decisions = DecisionLog(
+            settings.remembered_decisions, settings.lines_per_second
+        )
+        self.log_writer = log_writer
+        self.source = source
+        rng = random.Random()
+        ring = Ring()
+        self.engine = make_fleet_engine(settings.host, settings.domain, rng, ring)
+        self._pump = EnginePump(self.engine, self.clock, self._carry_out, self.counts)
+        self.peers = PeerClient(settings.host, settings.peer_key, self.post)
+        self.observations = Observations()
+        self.client = ForwardingClient(upstream_codec, self.clock, self._connections)
+        self._choices = WeightedChoices(rng)
+        self.forwarder = self._make_forwarder()
+        self.ingress = Ingress(
+            self.forwarder,
+            ingress_codec,
+            self.clock,
+            lambda: self.stopping,
+            partial(self.count_refusal, "ingress"),
+        )
+        self._reader = CatalogReader(
+            source,
+            self.engine.world,
+            ring,
+            self.clock,
+            rng,
+            settings.change_limit_ms,
+            self.post,
+        )
+        self._stop = ForwardingStop(settings, self.clock, self.ingress)
+        self._reports = ForwardingReports(self)
+        self.listener_by_surface: dict[str, Listener] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self._flush_timer: asyncio.TimerHandle | None = None
+
+    @property
+    def host_settings(self) -> ForwardingSettings:
+        """Return the settings."""
+        return self.settings
+
+    @property
+    def limits(self) -> IngressLimits:
+        """Return the operators' bounds for clients."""
+        tables = self.engine.world.catalog.tables
+        return IngressLimits() if tables is None else tables.limits
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether new requests may be sent here."""
+        return self.engine.world.catalog.tables is not None and not self.stopping
+
+    @property
+    def stopping(self) -> bool:
+        """Tell whether a planned stop has begun."""
+        return self._stop.begun
+
+    async def start(self) -> None:
+        """Open the surfaces and start to read the catalog."""
+        settings = self.settings
+        await self._open("peer", peer_app(self), settings.peer_address)
+        await self._open("operator", operator_app(self), settings.operator_address)
+        place = (settings.host, settings.domain, settings.region, settings.peer_address)
+        started_ms = int(time.time() * MILLISECONDS_PER_SECOND)
+        own = MemberRow(*place, incarnation=started_ms)
+        self.post(HostStarted(own, self._seed_rows(settings.seeds)))
+        self._start_task(self._reader.run())
+        await self._open("ingress", self.ingress.handle, settings.ingress_address)
+        ready = ready_app(lambda: self.ready)
+        await self._open("ready", ready, settings.ready_address)
+        logger.info(
+            "node: {} of {} serves clients on {}, peers on {}.",
+            settings.host,
+            settings.domain,
+            settings.ingress_address,
+            settings.peer_address,
+        )
+
+    async def stop(self) -> None:
+        """Finish what is under way within the grace time, then close all."""
+        self._stop.begun = True
+        self.post(HostStopping(float(self.settings.balancer_lag_ms)))
+        await self._stop.run(self.listener_by_surface["ingress"])
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for listener in self.listener_by_surface.values():
+            await listener.close()
+        await self.client.close()
+        await self.peers.close()
+        await self.source.close()
+        self._pump.close()
+        self._flush()
+        logger.info("stop: {} has stopped.", self.settings.host)
+        if self.log_writer is not None:
+            self.log_writer.close()
+
+    def post(self, event: Event) -> None:
+        """Queue an event for the core's next tick."""
+        self._pump.post(event)
+
+    def receive(self, batch: PeerBatch) -> int:
+        """Take a peer's batch; return how many messages it held."""
+        if self._stop.refuses_all:
+            raise StoppingError("This host has stopped.")
+        messages = messages_of(batch)
+        for message in messages:
+            self.post(PeerReceived(batch["sender"], message))
+        return len(messages)
+
+    def explain(self, request_id: RequestId) -> Explanation:
+        """Return the decisions this host still remembers of a request."""
+        return self._reports.explain(request_id)
+
+    async def explain_all(self, request_id: RequestId) -> Explanation:
+        """Return the decisions of this host; no other takes part in a request."""
+        return self._reports.explain(request_id)
+
+    def status(self) -> Mapping[str, object]:
+        """Return the status of this host and what it sees of the fleet."""
+        return self._reports.status()
+
+    def block_hosts(self, hosts: frozenset[HostId]) -> None:
+        """Send nothing to these hosts, as if the network were cut."""
+        self.peers.blocked_hosts = hosts
+
+    def metrics_text(self, accept: tuple[str, ...]) -> tuple[bytes, str]:
+        """Return the metrics and their content type."""
+        return self._reports.metrics_text(accept)
+
+    def count_refusal(self, surface: str, kind: str) -> None:
+        """Count what a surface refused, by the kind of its error."""
+        self.metrics.count_refusal(surface, kind)
+
+    def _make_forwarder(self) -> Forwarder:
+        settings = self.settings
+        world = self.engine.world
+        choice = ExpectedLatencyChoice(
+            settings.domain,
+            settings.region_by_domain,
+            self.observations,
+            world.catalog.leaves_ms_by_upstream,
+        )
+        limits = RepeatLimits(settings.repeat_ratio, settings.repeat_allowance)
+        self.budget = RepeatBudget(limits)
+        planner = Planner(
+            settings.domain, self._replicas_of, choice, self.budget, self.observations
+        )
+        log = RequestLog(world, planner, self.decisions, self.metrics, self._flush_soon)
+        merge = GreatestRecords()
+        return Forwarder(
+            self.clock,
+            world.catalog,
+            planner,
+            self._choices,
+            merge,
+            self.client,
+            log,
+        )
+
+    def _replicas_of(self, service: ServiceId) -> Iterable[Registration]:
+        return self.engine.world.catalog.upstreams_by_service.get(service, {}).values()
+
+    def _connections(self, registration: Registration) -> int:
+        bounds = self.engine.world.catalog.bounds_by_service.get(registration.service)
+        limit = bounds.connections_limit if bounds else DEFAULT_CONNECTIONS
+        return connection_share(limit, self.engine.world.live_host_count())
+
+    def _carry_out(self, actions: list[Action], now_ms: float) -> None:
+        world = self.engine.world
+        for action in actions:
+            match action:
+                case LogDecision():
+                    self.decisions.add(action, now_ms)
+                    self._flush_soon()
+                case SendToPeer():
+                    self._send_to_peer(action)
+                case Announce(event=CatalogChanged() as change):
+                    self._follow(change, now_ms)
+        hosts = world.live_host_count()
+        if hosts != self.budget.hosts:
+            self.budget.share_among(hosts, now_ms)
+            self.client.resize(world.catalog.registration_by_upstream)
+
+    def _send_to_peer(self, action: SendToPeer) -> None:
+        member = self.engine.world.member_by_host.get(action.host)
+        if member is None:
+            self.post(PeerUnreachable(action.host, action.message, Ran.NO))
+            return
+        self.peers.send(action.host, member.peer_address, action.message)
+
+    def _follow(self, change: CatalogChanged, now_ms: float) -> None:
+        catalog = self.engine.world.catalog
+        registered = catalog.registration_by_upstream
+        for upstream in change.upstreams:
+            registration = registered.get(upstream)
+            if registration is None:
+                self.observations.forget([upstream])
+                self.client.retire([upstream])
+                continue
+            seen = self.observations.of(upstream)
+            if seen.started_ms != registration.started_ms:
+                cold_until_ms = now_ms + registration.cold_ms
+                self.observations.renew(
+                    upstream, registration.started_ms, cold_until_ms
+                )
+                self.client.retire([upstream])
+        if change.tables and catalog.tables is not None:
+            names = {route.name for route in catalog.tables.routes}
+            self.observations.keep_routes(names)
+            self._choices.keep(names)
+            self.budget.keep({one.name for one in catalog.tables.services})
+            self.client.resize(registered)
+
+    def _seed_rows(self, seeds: Iterable[Address]) -> tuple[MemberRow, ...]:
+        """Return rows that stand for seeds until they tell their domain."""
+        return tuple(
+            MemberRow(address, "", "", address)
+            for address in seeds
+            if address != self.settings.peer_address
+        )
+
+    def _flush_soon(self) -> None:
+        if self._flush_timer is None:
+            self._flush_timer = asyncio.get_running_loop().call_later(
+                FLUSH_MS / MILLISECONDS_PER_SECOND, self._flush
+            )
+
+    def _flush(self) -> None:
+        if self._flush_timer is not None:
+            self._flush_timer.cancel()
+            self._flush_timer = None
+        self.decisions.flush()
+
+    def _start_task(self, work: Coroutine[object, object, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        task.add_done_callback(_report_end)
+        self._tasks.append(task)
+
+    async def _open(
+        self,
+        surface: str,
+        app: web.Application | Callable,
+        address: Address,
+    ) -> None:
+        bounds = ServerBounds(
+            self.settings.connections_limit, partial(self.count_refusal, surface)
+        )
+        listener = Listener(app, bounds)
+        self.listener_by_surface[surface] = listener
+        await listener.open(address)
+
+
+def _report_end(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        logger.opt(exception=task.exception()).error("node: a task failed.")
--- a/burdockmill/logs.py
+++ b/burdockmill/logs.py
@@ -5,7 +5,7 @@
 import logging
 import sys
 import traceback
-from typing import TYPE_CHECKING, TextIO
+from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 from loguru import logger
@@ -16,14 +16,24 @@
 
     from loguru import Message, Record
 
-    from burdockmill.surfaces.gateway import Decision
+    from burdockmill.decision import Decision
 
 DECISIONS_KEY = "decisions"
 
 
-def set_up_logs(log_format: str, level: str, stream: TextIO | None = None) -> None:
+class LineStream(Protocol):
+    """Take whole lines of text."""
+
+    def write(self, text: str, /) -> int:
+        """Take lines."""
+
+    def flush(self) -> None:
+        """Hand on what was taken."""
+
+
+def set_up_logs(log_format: str, level: str, stream: LineStream | None = None) -> None:
     """Send log lines to a stream, standard error by default, as text or JSON."""
-    target = stream or sys.stderr
+    target: LineStream = stream or sys.stderr
     make_lines = _json_lines if log_format == "json" else _text_lines
 
     def write(message: Message) -> None:
@@ -89,6 +99,7 @@
         "choice": decision.choice,
         "reason": decision.reason,
         "passed_over": list(decision.passed_over),
+        **decision.inputs,
     }
 
 
@@ -98,8 +109,10 @@
 
 
 def _clean(value: object) -> object:
-    if isinstance(value, list):
+    if isinstance(value, list | tuple):
         return [_clean(item) for item in value]
+    if value is None or isinstance(value, int | float):
+        return value
     return escape(str(value))
 
 
--- a/burdockmill/messages/actions.py
+++ b/burdockmill/messages/actions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple, NotRequired, TypedDict
 
 import msgspec
@@ -22,6 +24,8 @@
 from burdockmill.rules.model import RequestKind
 from burdockmill.slots import SlotRange
 
+NO_INPUTS: Mapping[str, object] = MappingProxyType({})
+
 
 class MissingRange(TypedDict):
     """Name slots without an answer and why; bounds included."""
@@ -142,13 +146,14 @@
 
 
 class LogDecision(NamedTuple):
-    """Record one decision with its reason and what was passed over."""
+    """Record one decision with its reason, its inputs and what was passed over."""
 
     part: str
     request_id: RequestId
     choice: str
     reason: str
     passed_over: tuple[str, ...] = ()
+    inputs: Mapping[str, object] = NO_INPUTS
 
 
 Action = (
--- a/burdockmill/messages/events.py
+++ b/burdockmill/messages/events.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from burdockmill.errors import Ran
+from burdockmill.messages.catalog import CatalogDelta
 from burdockmill.messages.fleet import News, RulesDelta
 from burdockmill.messages.peer import Hit, PeerMessage, Reason, Ticket
 from burdockmill.messages.platform import HostList, Manifest
@@ -177,6 +178,26 @@
     revision: Revision
 
 
+class CatalogRead(NamedTuple):
+    """Report what this host read from the store."""
+
+    delta: CatalogDelta
+
+
+class CatalogReceived(NamedTuple):
+    """Report changes of the catalog that a peer passed on."""
+
+    sender: HostId
+    deltas: tuple[CatalogDelta, ...]
+
+
+class CatalogChanged(NamedTuple):
+    """Report which part of the catalog in force has changed."""
+
+    tables: bool
+    upstreams: tuple[UpstreamId, ...]
+
+
 class HostStopping(NamedTuple):
     """Report a planned stop; new work is taken for `accepts_ms` milliseconds."""
 
@@ -216,6 +237,9 @@
     | ViewRefreshed
     | Learned
     | DeltasReceived
+    | CatalogRead
+    | CatalogReceived
+    | CatalogChanged
     | RevisionSeen
     | HostStopping
     | WokeLate
--- a/burdockmill/messages/fleet.py
+++ b/burdockmill/messages/fleet.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from burdockmill.messages.catalog import CatalogAsk, CatalogDelta, CatalogOffer
 from burdockmill.names import (
     Address,
     DomainId,
@@ -14,6 +15,9 @@
     UpstreamId,
 )
 
+# The age of what no host has confirmed with the store.
+UNCONFIRMED_MS = 1e9
+
 
 class MemberStatus(StrEnum):
     """State how a member stands in one incarnation."""
@@ -85,6 +89,7 @@
     holdings: tuple[HoldingsNews, ...] = ()
     rules: tuple[RulesDelta, ...] = ()
     listed: LeavingList | None = None
+    catalog: tuple[CatalogDelta, ...] = ()
 
 
 class TableDigest(NamedTuple):
@@ -104,7 +109,10 @@
 
 
 class Probe(NamedTuple):
-    """Show that the sender lives and what it knows; the reply is the proof."""
+    """Show that the sender lives and what it knows; the reply is the proof.
+
+    `confirmed_age_ms` is how long ago the sender's revision was the store's newest.
+    """
 
     sender: MemberNews
     revision: Revision
@@ -112,6 +120,7 @@
     digests: list[TableDigest]
     news: News = News()
     kind: ProbeKind = ProbeKind.PLAIN
+    confirmed_age_ms: float = UNCONFIRMED_MS
 
 
 class ProbeAsk(NamedTuple):
@@ -212,4 +221,6 @@
     | RulesOffer
     | ChunkAsk
     | ChunkText
+    | CatalogAsk
+    | CatalogOffer
 )
--- a/burdockmill/messages/peer.py
+++ b/burdockmill/messages/peer.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from burdockmill.errors import Ran
+from burdockmill.messages.catalog import CatalogAsk, CatalogOffer
 from burdockmill.messages.fleet import (
     ChunkAsk,
     ChunkText,
@@ -270,6 +271,8 @@
     rules_offers: list[RulesOffer]
     chunk_asks: list[ChunkAsk]
     chunk_texts: list[ChunkText]
+    catalog_asks: list[CatalogAsk]
+    catalog_offers: list[CatalogOffer]
     session_asks: list[SessionAsk]
     sessions_told: list[SessionTold]
     action_requests: list[ActionRequest]
--- a/burdockmill/node.py
+++ b/burdockmill/node.py
@@ -23,6 +23,7 @@
 from burdockmill.clock import MonotonicClock
 from burdockmill.core import make_engine
 from burdockmill.decision_log import DecisionLog
+from burdockmill.engine_pump import EnginePump
 from burdockmill.errors import BurdockmillError, StoppingError
 from burdockmill.messages.actions import Announce, SendToPeer
 from burdockmill.messages.events import (
@@ -82,6 +83,7 @@
         )
         self.peers = PeerClient(settings.host, settings.peer_key, self.post)
         self.platform = PlatformClient(settings.platform_addresses, self.clock)
+        self._pump = EnginePump(self.engine, self.clock, self._carry_out, self.counts)
         self._wake_guard = WakeGuard(self.clock)
         self.waiters = Waiters(settings.request_limit)
         self._actions = ActionRunner(
@@ -99,8 +101,6 @@
         self._reports = HostReports(self)
         self.listener_by_surface: dict[str, Listener] = {}
         self._tasks: list[asyncio.Task] = []
-        self._pump_is_due = False
-        self._timer: asyncio.TimerHandle | None = None
 
     @property
     def rules(self) -> RuleSet | None:
@@ -156,18 +156,14 @@
         await self.upstreams.close()
         await self.peers.close()
         await self.platform.close()
-        if self._timer is not None:
-            self._timer.cancel()
+        self._pump.close()
         logger.info(f"stop: {self.settings.host} has stopped.")
 
     def post(self, event: Event) -> None:
         """Queue an event for the core's next tick."""
         if isinstance(event, RulesAccepted):
             self._configure(event)
-        self.engine.post(event)
-        if not self._pump_is_due:
-            self._pump_is_due = True
-            asyncio.get_running_loop().call_soon(self._pump)
+        self._pump.post(event)
 
     async def ask(self, asked: RequestAsked) -> AnyAnswer:
         """Return the answer to a request; raise a BurdockmillError otherwise."""
@@ -243,17 +239,9 @@
         refusal = SendToPeer(sender, self._stop.refusal_of(request))
         self._actions.run([refusal], self.clock.now_ms())
 
-    def _pump(self) -> None:
-        self._pump_is_due = False
-        now_ms = self.clock.now_ms()
-        try:
-            actions = self.engine.tick(now_ms)
-            self._hear(actions)
-            self._actions.run(actions, now_ms)
-        except Exception:
-            self.counts["ticks_failed"] += 1
-            logger.exception("core: a tick failed.")
-        self._set_timer(now_ms)
+    def _carry_out(self, actions: list[Action], now_ms: float) -> None:
+        self._hear(actions)
+        self._actions.run(actions, now_ms)
 
     def _hear(self, actions: list[Action]) -> None:
         for action in actions:
@@ -263,15 +251,6 @@
     def _configure(self, event: RulesAccepted) -> None:
         self.upstreams.configure_all(event.rules, event.changed)
 
-    def _set_timer(self, now_ms: float) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        due_ms = self.engine.next_due_ms()
-        if due_ms is not None:
-            wait = max(0.0, due_ms - now_ms) / MILLISECONDS_PER_SECOND
-            self._timer = asyncio.get_running_loop().call_later(wait, self._pump)
-
     def _start_task(self, work: Coroutine) -> None:
         self._tasks.append(asyncio.get_running_loop().create_task(work))
 
--- /dev/null
+++ b/burdockmill/platform/daemon.py
@@ -0,0 +1,69 @@
+"""Run a host on the platform."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, NoReturn
+
+from returns.result import Success
+
+from burdockmill._line_writer import LineWriter
+from burdockmill.forwarding_node import ForwardingNode
+from burdockmill.logs import set_up_logs
+from burdockmill.platform.ingress_codec import PlatformIngressCodec
+from burdockmill.platform.settings_file import parse_platform_settings
+from burdockmill.platform.store_source import StoreSource
+from burdockmill.platform.upstream_codec import PlatformUpstreamCodec
+from burdockmill.platform.wire_names import SETTINGS_VARIABLE
+from burdockmill.service import run_service
+
+if TYPE_CHECKING:
+    from burdockmill.forwarding.settings import ForwardingSettings
+
+EXIT_BAD_SETTINGS = 2
+
+
+def main() -> None:
+    """Serve with the settings file that the environment names, until SIGTERM."""
+    settings = _read_settings()
+    writer = LineWriter(sys.stdout)
+    set_up_logs("json", settings.log_level, writer)
+    run_service(lambda: make_node(settings, writer), settings.stop_grace_ms)
+
+
+def make_node(settings: ForwardingSettings, writer: LineWriter) -> ForwardingNode:
+    """Return a host that speaks with the platform."""
+
+    def body_limit() -> int:
+        return node.limits.body_bytes
+
+    node = ForwardingNode(
+        settings,
+        StoreSource(settings.store_address),
+        PlatformIngressCodec(settings.client_path_ms, body_limit),
+        PlatformUpstreamCodec(),
+        writer,
+    )
+    return node
+
+
+def _read_settings() -> ForwardingSettings:
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        _refuse(f"the variable {SETTINGS_VARIABLE} names no settings file; set it")
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        _refuse(f"cannot read {path}: {error}; check the file")
+    parsed = parse_platform_settings(text)
+    if isinstance(parsed, Success):
+        return parsed.unwrap()
+    _refuse(*(f"{path}: {problem}" for problem in parsed.failure()))
+
+
+def _refuse(*lines: str) -> NoReturn:
+    for line in lines:
+        sys.stderr.write(f"burdockmill: {line}\n")
+    sys.exit(EXIT_BAD_SETTINGS)
--- /dev/null
+++ b/burdockmill/platform/ingress_codec.py
@@ -0,0 +1,119 @@
+"""Read clients' requests and write their answers as the platform words them."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import msgspec
+from aiohttp import web
+from multidict import CIMultiDict
+
+from burdockmill.errors import BadRequestError, BodyTooLargeError
+from burdockmill.forwarding.codecs import IngressCodec
+from burdockmill.forwarding.messages import (
+    ForwardedRequest,
+    MergedAnswer,
+    UpstreamAnswer,
+)
+from burdockmill.platform.headers import end_to_end
+from burdockmill.platform.wire_names import (
+    DEADLINE_MS,
+    EXPECT_UPSTREAM,
+    PART_STAMPS,
+    PARTS_MISSING,
+    REQUEST_ID,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from burdockmill.errors import BurdockmillError
+    from burdockmill.names import RequestId
+
+MILLISECONDS_PER_SECOND = 1_000
+REPLACED = frozenset({DEADLINE_MS.lower(), EXPECT_UPSTREAM.lower()})
+# A new connection costs the client a round trip before it sends its request.
+NEW_CONNECTION_PATHS = 3
+KEPT_CONNECTION_PATHS = 1
+
+
+class PlatformIngressCodec(IngressCodec):
+    """Read requests whose routing headers are the platform's."""
+
+    def __init__(self, client_path_ms: float, body_limit: Callable[[], int]) -> None:
+        self._client_path_ms = client_path_ms
+        self._body_limit = body_limit
+
+    async def read(self, request: web.BaseRequest, now_ms: float) -> ForwardedRequest:
+        """Return a request that was read whole; raise a BurdockmillError."""
+        headers = request.headers
+        request_id = headers.get(REQUEST_ID, "")
+        if not request_id:
+            raise BadRequestError(f"The header {REQUEST_ID} is missing.")
+        body = await self._read_body(request)
+        return ForwardedRequest(
+            request_id,
+            request.method,
+            request.host.partition(":")[0].lower(),
+            request.raw_path,
+            end_to_end(headers, REPLACED),
+            body,
+            now_ms,
+            now_ms + _deadline_ms(headers.get(DEADLINE_MS)),
+            self._spent_ms(request),
+        )
+
+    def response(self, result: UpstreamAnswer | MergedAnswer) -> web.Response:
+        """Return the response that carries an answer."""
+        if isinstance(result, UpstreamAnswer):
+            headers = CIMultiDict(result.headers)
+            return web.Response(body=result.body, status=result.status, headers=headers)
+        headers = CIMultiDict(
+            {
+                PART_STAMPS: ", ".join(result.stamps),
+                PARTS_MISSING: str(result.missing),
+            }
+        )
+        return web.Response(body=result.body, headers=headers)
+
+    def error_response(
+        self, error: BurdockmillError, request_id: RequestId
+    ) -> web.Response:
+        """Return the response that carries a refusal or failure."""
+        response = web.Response(
+            body=msgspec.json.encode(error.body(request_id)),
+            status=error.status,
+            content_type="application/json",
+        )
+        if error.retry_after_ms is not None:
+            seconds = error.retry_after_ms / MILLISECONDS_PER_SECOND
+            response.headers["Retry-After"] = f"{seconds:.3f}"
+        return response
+
+    async def _read_body(self, request: web.BaseRequest) -> bytes:
+        if not request.body_exists:
+            return b""
+        limit = self._body_limit()
+        body = bytearray()
+        async for chunk in request.content.iter_any():
+            body += chunk
+            if len(body) > limit:
+                raise BodyTooLargeError(f"The body is above {limit} bytes.")
+        return bytes(body)
+
+    def _spent_ms(self, request: web.BaseRequest) -> float:
+        """Return what the client has waited before its request was received."""
+        is_first = request.protocol._request_count <= 1
+        paths = NEW_CONNECTION_PATHS if is_first else KEPT_CONNECTION_PATHS
+        return self._client_path_ms * paths
+
+
+def _deadline_ms(text: str | None) -> float:
+    """Return the client's deadline in milliseconds from now; none is infinite."""
+    if text is None:
+        return math.inf
+    try:
+        return max(0.0, float(text))
+    except ValueError as error:
+        raise BadRequestError(f"The header {DEADLINE_MS} is no number.") from error
--- /dev/null
+++ b/burdockmill/platform/store_source.py
@@ -0,0 +1,202 @@
+"""Read the catalog from the platform's store."""
+
+from __future__ import annotations
+
+import asyncio
+import binascii
+from base64 import b64decode
+from collections import Counter
+from typing import TYPE_CHECKING, Any, NoReturn
+from urllib.parse import urlencode
+
+import msgspec
+from aiohttp import ClientError, TCPConnector
+from loguru import logger
+
+from burdockmill.clients._session import open_session
+from burdockmill.clients.catalog_source import (
+    CatalogSource,
+    HistoryLostError,
+    StoreError,
+)
+from burdockmill.messages.catalog import CatalogDelta, Departed, Registered
+from burdockmill.platform.configuration import (
+    decode_configuration,
+    decode_registration,
+    upstream_of,
+)
+from burdockmill.platform.wire_names import CONFIGURATION_KEY, REGISTRATIONS_PREFIX
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from aiohttp import ClientSession
+
+    from burdockmill.forwarding.routes import RoutingTables
+    from burdockmill.names import Address, Revision
+
+# The store answers within milliseconds, or within some hundred when it is slow.
+READ_TIMEOUT_MS = 1_500
+OK, NOT_FOUND, GONE = 200, 404, 410
+MILLISECONDS_PER_SECOND = 1_000
+
+
+class _Item(msgspec.Struct, rename="kebab"):
+    key: str
+    # The revision of the item's last change.
+    rev: int
+    value: str = ""
+    removed: bool = False
+
+
+class _Range(msgspec.Struct, rename="kebab"):
+    items: list[_Item]
+    store_revision: int
+    has_more: bool = False
+
+
+class _Events(msgspec.Struct, rename="kebab"):
+    events: list[_Item]
+    store_revision: int
+
+
+_RANGE_DECODER = msgspec.json.Decoder(_Range)
+_EVENTS_DECODER = msgspec.json.Decoder(_Events)
+
+
+class StoreSource(CatalogSource):
+    """Read the configuration and the registrations, both by one revision."""
+
+    def __init__(self, address: Address) -> None:
+        self.counts: Counter[str] = Counter()
+        self._address = address
+        self._session: ClientSession | None = None
+
+    async def read_all(self) -> CatalogDelta:
+        """Return the whole catalog; raise StoreError."""
+        revision: Revision | None = None
+        items: list[_Item] = []
+        for prefix in (CONFIGURATION_KEY, REGISTRATIONS_PREFIX):
+            after = ""
+            while True:
+                query = {"prefix": prefix} | ({"after": after} if after else {})
+                page = self._decode(_RANGE_DECODER, await self._get("/kv-range", query))
+                # Pages are read one after the other: what changed meanwhile is
+                # known for certain only up to the first one's revision.
+                revision = page.store_revision if revision is None else revision
+                items.extend(page.items)
+                if not page.has_more or not page.items:
+                    break
+                after = page.items[-1].key
+        delta = self._delta(0, revision or 0, items)
+        return delta._replace(is_whole=True)
+
+    async def watch(self, after: Revision, wait_ms: int) -> CatalogDelta:
+        """Return what followed a revision, empty after `wait_ms`; raise StoreError."""
+        query = {"prefix": "", "after": after, "wait-ms": wait_ms}
+        told = self._decode(
+            _EVENTS_DECODER, await self._get("/kv-watch", query, wait_ms)
+        )
+        return self._delta(after, told.store_revision, told.events)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def _get(self, path: str, query: dict[str, Any], wait_ms: int = 0) -> bytes:
+        self.counts["calls"] += 1
+        timeout_s = (READ_TIMEOUT_MS + wait_ms) / MILLISECONDS_PER_SECOND
+        url = f"http://{self._address}{path}?{urlencode(query)}"
+        try:
+            async with asyncio.timeout(timeout_s), self._open().get(url) as response:
+                body = await response.read()
+                status = response.status
+        except TimeoutError as error:
+            self._fail(f"no answer within {timeout_s:.1f} s", error)
+        except (ClientError, OSError) as error:
+            self._fail(f"{type(error).__name__}: {error}", error)
+        if status == GONE:
+            self.counts["history_gone"] += 1
+            raise HistoryLostError("the history is no longer kept")
+        if status != OK:
+            self._fail(f"status {status}")
+        return body
+
+    def _open(self) -> ClientSession:
+        if self._session is None:
+            self._session = open_session(TCPConnector(use_dns_cache=False))
+        return self._session
+
+    def _fail(self, reason: str, cause: Exception | None = None) -> NoReturn:
+        self.counts["failed_calls"] += 1
+        raise StoreError(reason) from cause
+
+    def _decode(self, decoder: msgspec.json.Decoder, body: bytes) -> Any:  # noqa: ANN401
+        try:
+            return decoder.decode(body)
+        except (msgspec.MsgspecError, UnicodeError) as error:
+            self._fail(f"malformed answer: {error}", error)
+
+    def _delta(
+        self, base: Revision, revision: Revision, items: Iterable[_Item]
+    ) -> CatalogDelta:
+        tables: RoutingTables | None = None
+        tables_revision: Revision = 0
+        change_by_key: dict[str, Registered | Departed] = {}
+        for item in items:
+            if item.key == CONFIGURATION_KEY and not item.removed:
+                newer = self._tables(item)
+                if newer is not None:
+                    tables, tables_revision = newer, item.rev
+            elif item.key.startswith(REGISTRATIONS_PREFIX):
+                change_by_key[item.key] = self._change(item)
+        changes = change_by_key.values()
+        return CatalogDelta(
+            base,
+            revision,
+            tables_revision,
+            tables,
+            tuple(one for one in changes if isinstance(one, Registered)),
+            tuple(one for one in changes if isinstance(one, Departed)),
+        )
+
+    def _tables(self, item: _Item) -> RoutingTables | None:
+        try:
+            return decode_configuration(_value_of(item))
+        except (msgspec.MsgspecError, ValueError) as error:
+            self.counts["malformed_configurations"] += 1
+            logger.error(
+                "store: the configuration of revision {} is malformed ({}); "
+                "the last one stays in force.",
+                item.rev,
+                error,
+            )
+            return None
+
+    def _change(self, item: _Item) -> Registered | Departed:
+        departed = Departed(item.rev, upstream_of(item.key))
+        if item.removed:
+            return departed
+        try:
+            registration = decode_registration(item.key, _value_of(item))
+        except ValueError:
+            registration = None
+        if registration is None:
+            self.counts["malformed_registrations"] += 1
+            logger.warning(
+                "store: the registration {} of revision {} is malformed and unused.",
+                item.key,
+                item.rev,
+            )
+            return departed
+        return Registered(item.rev, registration)
+
+
+def _value_of(item: _Item) -> bytes:
+    """Return an item's bytes; raise ValueError."""
+    try:
+        return b64decode(item.value, validate=True)
+    except binascii.Error as error:
+        raise ValueError("the value is not base64") from error
--- /dev/null
+++ b/burdockmill/platform/wire_names.py
@@ -0,0 +1,32 @@
+"""Name the headers and keys of the platform."""
+
+from __future__ import annotations
+
+REQUEST_ID = "X-Burdockmill-Request-Id"
+# What the client will wait, or what an attempt has left, in whole milliseconds.
+DEADLINE_MS = "X-Burdockmill-Deadline-Ms"
+EXPECT_UPSTREAM = "X-Burdockmill-Expect-Instance"
+NOT_RUN = "X-Burdockmill-Not-Executed"
+STAMP = "X-Burdockmill-Server-Stamp"
+PART_STAMPS = "X-Burdockmill-Part-Stamps"
+PARTS_MISSING = "X-Burdockmill-Parts-Missing"
+
+CONFIGURATION_KEY = "op/config"
+REGISTRATIONS_PREFIX = "servers/"
+
+SETTINGS_VARIABLE = "BURDOCKMILL_CONFIG"
+
+# Headers that concern one connection only, or that burdockmill writes itself.
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
--- /dev/null
+++ b/burdockmill/policies/store_duty.py
@@ -0,0 +1,37 @@
+"""Say whether this host reads the store for its failure domain.
+
+Load pattern: the store counts each call, and each change wakes every watch. One host
+a domain watches and passes changes on; when no host has confirmed the catalog for a
+while (the store turns the readers away, or they froze), every host reads for itself.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from burdockmill.systems._ring import Ring
+    from burdockmill.world import World
+
+
+class StoreDuty(StrEnum):
+    """Say why a host reads the store, or that it does not."""
+
+    NONE = "none"
+    READER = "reader"
+    UNCONFIRMED = "unconfirmed"
+
+
+def store_duty(
+    world: World, ring: Ring, now_ms: float, unconfirmed_limit_ms: float
+) -> StoreDuty:
+    """Return why this host reads the store; the limit is in milliseconds."""
+    if world.catalog.tables is None:
+        return StoreDuty.UNCONFIRMED
+    readers = ring.readers(world)
+    if not readers or readers[0] == world.host:
+        return StoreDuty.READER
+    if now_ms - world.fleet.confirmed_ms > unconfirmed_limit_ms:
+        return StoreDuty.UNCONFIRMED
+    return StoreDuty.NONE
--- a/burdockmill/service.py
+++ b/burdockmill/service.py
@@ -1,42 +1,64 @@
-"""Run a node as an aiomisc service."""
+"""Run a host as an aiomisc service."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Protocol
 
 import aiomisc
 
-from burdockmill.node import Node
-from burdockmill.settings import Settings
+if TYPE_CHECKING:
+    from burdockmill.settings import Settings
 
 MILLISECONDS_PER_SECOND = 1_000
 CLOSE_LIMIT_MS = 5_000
 
 
-class NodeService(aiomisc.Service):
-    """Run a node until its process is told to stop."""
+class Startable(Protocol):
+    """Start and stop, as every kind of host does."""
 
-    settings: Settings
+    async def start(self) -> None:
+        """Open the surfaces."""
+
+    async def stop(self) -> None:
+        """Finish what is under way, then close all."""
+
+
+class HostService(aiomisc.Service):
+    """Run a host until its process is told to stop."""
+
+    make: Callable[[], Startable]
 
     async def start(self) -> None:
-        """Start the node and serve until stopped."""
-        self.node = Node(self.settings)
-        await self.node.start()
+        """Start the host and serve until stopped."""
+        self.host = self.make()
+        await self.host.start()
         self.start_event.set()
-        await asyncio.Event().wait()
+        # The service holds the event, else the waiting task could be collected.
+        self._never = asyncio.Event()
+        await self._never.wait()
 
     async def stop(self, exception: Exception | None = None) -> None:
-        """Finish what is under way, then close the node."""
-        await self.node.stop()
+        """Finish what is under way, then close the host."""
+        await self.host.stop()
 
 
-def run_node(settings: Settings) -> None:
-    """Run a node until SIGTERM or SIGINT."""
-    service = NodeService(settings=settings)
-    limit_ms = settings.balancer_lag_ms + settings.stop_grace_ms + CLOSE_LIMIT_MS
+def run_service(make: Callable[[], Startable], limit_ms: float) -> None:
+    """Run a host until SIGTERM or SIGINT; a stop may take `limit_ms` and a little."""
+    service = HostService(make=make)
     with aiomisc.entrypoint(
         service,
         log_config=False,
-        shutdown_timeout=limit_ms / MILLISECONDS_PER_SECOND,
+        pool_size=1,
+        shutdown_timeout=(limit_ms + CLOSE_LIMIT_MS) / MILLISECONDS_PER_SECOND,
     ) as loop:
         loop.run_forever()
+
+
+def run_node(settings: Settings) -> None:
+    """Run a node of the product's own interface until SIGTERM or SIGINT."""
+    from burdockmill.node import Node
+
+    limit_ms = settings.balancer_lag_ms + settings.stop_grace_ms
+    run_service(lambda: Node(settings), limit_ms)
--- a/burdockmill/surfaces/_bounded_server.py
+++ b/burdockmill/surfaces/_bounded_server.py
@@ -19,7 +19,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
 HEADER_TIMEOUT_SECONDS = 10.0
 KEEPALIVE_SECONDS = 75.0
@@ -53,6 +53,24 @@
         return BoundedServer(made, self._bounds)
 
 
+class BoundedHandlerRunner(web.ServerRunner):
+    """Run a handler of every request behind a bounded server."""
+
+    def __init__(
+        self,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        bounds: ServerBounds,
+    ) -> None:
+        made = web.Server(
+            handler,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_SECONDS,
+            auto_decompress=False,
+        )
+        super().__init__(BoundedServer(made, bounds))
+
+
 class BoundedServer(web.Server):
     """Make a bounded handler for each connection."""
 
--- a/burdockmill/surfaces/_http.py
+++ b/burdockmill/surfaces/_http.py
@@ -25,7 +25,7 @@
     from aiohttp.typedefs import Middleware
 
     from burdockmill.names import RequestId
-    from burdockmill.surfaces.gateway import Gateway
+    from burdockmill.surfaces.host_gateway import HostGateway
 
     Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -42,7 +42,7 @@
     )
 
 
-def answer_errors(gateway: Gateway, surface: str) -> Middleware:
+def answer_errors(gateway: HostGateway, surface: str) -> Middleware:
     """Return what gives requests their ids and turns every error into JSON."""
 
     @web.middleware
@@ -76,7 +76,7 @@
     return response
 
 
-def health_routes(gateway: Gateway) -> list[web.RouteDef]:
+def health_routes(gateway: HostGateway) -> list[web.RouteDef]:
     """Return the routes for liveness and readiness."""
 
     async def livez(_: web.Request) -> web.Response:
--- a/burdockmill/surfaces/gateway.py
+++ b/burdockmill/surfaces/gateway.py
@@ -1,14 +1,14 @@
-"""State what the surfaces need of the host they serve."""
+"""State what the callers' surface needs of the host it serves."""
 
 from __future__ import annotations
 
-from abc import ABC, abstractmethod
-from typing import TYPE_CHECKING, NamedTuple
+from abc import abstractmethod
+from typing import TYPE_CHECKING
+
+from burdockmill.surfaces.host_gateway import HostGateway
 
 if TYPE_CHECKING:
     from burdockmill.clock import Clock
-    from burdockmill.explanation import Explanation
-    from burdockmill.host_status import HostStatus
     from burdockmill.messages.actions import (
         ActionAnswer,
         FetchAnswer,
@@ -16,47 +16,26 @@
         TicketAnswer,
     )
     from burdockmill.messages.events import RequestAsked
-    from burdockmill.messages.peer import PeerBatch
-    from burdockmill.names import HostId, RequestId
+    from burdockmill.names import RequestId
     from burdockmill.rules.model import RuleSet
     from burdockmill.settings import Settings
 
 
-class Decision(NamedTuple):
-    """Record one decision; `at_ms` is this host's clock in milliseconds."""
-
-    at_ms: float
-    part: str
-    request_id: str
-    choice: str
-    reason: str
-    passed_over: tuple[str, ...]
-
-
-class Gateway(ABC):
-    """State what the surfaces need of the host they serve."""
+class Gateway(HostGateway):
+    """State what the callers' surface needs of a host."""
 
     settings: Settings
     clock: Clock
 
     @property
-    @abstractmethod
-    def rules(self) -> RuleSet | None:
-        """Return the rules in force, or None before the first."""
+    def host_settings(self) -> Settings:
+        """Return the settings."""
+        return self.settings
 
     @property
     @abstractmethod
-    def ready(self) -> bool:
-        """Tell whether new requests may be sent here."""
-
-    @property
-    @abstractmethod
-    def stopping(self) -> bool:
-        """Tell whether a planned stop has begun."""
-
-    @abstractmethod
-    def count_refusal(self, surface: str, kind: str) -> None:
-        """Count what a surface refused, by the kind of its error."""
+    def rules(self) -> RuleSet | None:
+        """Return the rules in force, or None before the first."""
 
     @abstractmethod
     async def ask(
@@ -67,27 +46,3 @@
     @abstractmethod
     def leave(self, request_id: RequestId) -> None:
         """Note that a request's caller has gone."""
-
-    @abstractmethod
-    def receive(self, batch: PeerBatch) -> int:
-        """Take a peer's batch; return how many messages it held."""
-
-    @abstractmethod
-    def explain(self, request_id: RequestId) -> Explanation:
-        """Return the decisions this host still remembers of a request."""
-
-    @abstractmethod
-    async def explain_all(self, request_id: RequestId) -> Explanation:
-        """Return the decisions of this host and of the owners it used."""
-
-    @abstractmethod
-    def status(self) -> HostStatus:
-        """Return the status of this host and what it sees of the fleet."""
-
-    @abstractmethod
-    def block_hosts(self, hosts: frozenset[HostId]) -> None:
-        """Send nothing to these hosts, as if the network were cut."""
-
-    @abstractmethod
-    def metrics_text(self, accept: tuple[str, ...]) -> tuple[bytes, str]:
-        """Return the metrics and their content type."""
--- a/burdockmill/surfaces/listener.py
+++ b/burdockmill/surfaces/listener.py
@@ -6,18 +6,28 @@
 
 from aiohttp import web
 
-from burdockmill.surfaces._bounded_server import BoundedRunner
+from burdockmill.surfaces._bounded_server import BoundedHandlerRunner, BoundedRunner
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from burdockmill.names import Address
     from burdockmill.surfaces._bounded_server import ServerBounds
 
+    RequestHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
 
 class Listener:
-    """Listen with an application on an address; port 0 takes a free port."""
+    """Listen with an application, or a handler of every request, on an address."""
 
-    def __init__(self, app: web.Application, bounds: ServerBounds) -> None:
-        self._runner = BoundedRunner(app, bounds)
+    def __init__(
+        self, app: web.Application | RequestHandler, bounds: ServerBounds
+    ) -> None:
+        self._runner: web.BaseRunner
+        if isinstance(app, web.Application):
+            self._runner = BoundedRunner(app, bounds)
+        else:
+            self._runner = BoundedHandlerRunner(app, bounds)
         self._site: web.TCPSite | None = None
 
     @property
@@ -36,6 +46,16 @@
         shown = f"[{bound[0]}]" if ":" in bound[0] else bound[0]
         return f"{shown}:{bound[1]}"
 
+    def close_idle(self) -> int:
+        """Close the connections that wait for a request; return how many."""
+        server = self._runner.server
+        if server is None:
+            return 0
+        idle = [one for one in server.connections if is_idle(one)]
+        for handler in idle:
+            handler.close()
+        return len(idle)
+
     async def stop_accepting(self) -> None:
         """Take no new connections; open ones go on."""
         if self._site is not None:
@@ -46,3 +66,9 @@
         """Close all connections."""
         self._site = None
         await self._runner.cleanup()
+
+
+def is_idle(handler: web.RequestHandler) -> bool:
+    """Tell whether a connection waits for its next request."""
+    waiter = handler._waiter
+    return waiter is not None and not waiter.done() and not handler._messages
--- a/burdockmill/surfaces/operator.py
+++ b/burdockmill/surfaces/operator.py
@@ -11,7 +11,7 @@
 from burdockmill.surfaces._http import answer_errors, health_routes, json_response
 
 if TYPE_CHECKING:
-    from burdockmill.surfaces.gateway import Gateway
+    from burdockmill.surfaces.host_gateway import HostGateway
 
 
 class BlockedHosts(TypedDict):
@@ -20,7 +20,7 @@
     blocked_hosts: list[str]
 
 
-def operator_app(gateway: Gateway) -> web.Application:
+def operator_app(gateway: HostGateway) -> web.Application:
     """Return the application for operators; it needs an address of its own."""
     app = web.Application(middlewares=[answer_errors(gateway, "operator")])
 
@@ -41,7 +41,7 @@
         gateway.block_hosts(frozenset(blocked["blocked_hosts"]))
         return json_response(blocked)
 
-    if gateway.settings.fault_switch:
+    if gateway.host_settings.fault_switch:
         app.router.add_post("/v1/faults", block)
     app.add_routes(
         [
--- a/burdockmill/surfaces/peer.py
+++ b/burdockmill/surfaces/peer.py
@@ -13,7 +13,7 @@
 from burdockmill.surfaces._http import answer_errors, json_response
 
 if TYPE_CHECKING:
-    from burdockmill.surfaces.gateway import Gateway
+    from burdockmill.surfaces.host_gateway import HostGateway
 
 PEER_KEY_HEADER = "Peer-Key"
 BATCH_LIMIT_BYTES = 64 * 1024 * 1024
@@ -21,12 +21,12 @@
 _BATCH_DECODER = msgspec.json.Decoder(PeerBatch)
 
 
-def peer_app(gateway: Gateway) -> web.Application:
+def peer_app(gateway: HostGateway) -> web.Application:
     """Return the application for other hosts; all need the peer key."""
     app = web.Application(
         middlewares=[answer_errors(gateway, "peer")], client_max_size=BATCH_LIMIT_BYTES
     )
-    expected = gateway.settings.peer_key.encode()
+    expected = gateway.host_settings.peer_key.encode()
 
     async def take_batch(request: web.Request) -> web.Response:
         _check_key(request, expected)
--- a/burdockmill/systems/_intake.py
+++ b/burdockmill/systems/_intake.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from burdockmill.messages.actions import LogDecision
-from burdockmill.messages.events import DeltasReceived, Learned
+from burdockmill.messages.events import CatalogReceived, DeltasReceived, Learned
 from burdockmill.messages.fleet import (
     LeavingList,
     MemberNews,
@@ -50,6 +50,8 @@
         listed = None
     if news.rules:
         world.put_event(CONFIG, DeltasReceived(sender, news.rules))
+    if news.catalog:
+        world.put_event(CONFIG, CatalogReceived(sender, news.catalog))
     return News(members, holdings, (), listed)
 
 
--- a/burdockmill/systems/_probes.py
+++ b/burdockmill/systems/_probes.py
@@ -19,6 +19,7 @@
 def send_probe(
     world: World,
     host: HostId,
+    now_ms: float,
     actions: list[Action],
     news: News | None = None,
     kind: ProbeKind = ProbeKind.PLAIN,
@@ -33,14 +34,14 @@
     others = sorted(fleet.members_by_domain.keys() - {world.domain})
     if others:
         digests.append(fleet.digest(others[fleet.probes_sent % len(others)]))
-    revision = world.rules.revision if world.rules else 0
     probe = Probe(
         member_news(own),
-        revision,
+        world.revision,
         fleet.listed.version,
         digests,
         news or News(),
         kind,
+        now_ms - fleet.confirmed_ms,
     )
     actions.append(SendToPeer(host, probe))
 
--- a/burdockmill/systems/far_probe_system.py
+++ b/burdockmill/systems/far_probe_system.py
@@ -46,7 +46,7 @@
             else:
                 due.schedule(RECONNECT, now_ms + RECONNECT_MS)
                 self._forget(world, now_ms)
-                self._reconnect(world, actions)
+                self._reconnect(world, now_ms, actions)
         return actions
 
     def _across(self, world: World, now_ms: float, actions: list[Action]) -> float:
@@ -61,7 +61,8 @@
             return ACROSS_FLOOR_MS
         hosts = sorted(hosts_by_domain[world.rng.choice(domains)])
         news = world.fleet.recent.since(now_ms - ACROSS_KEEP_MS)
-        send_probe(world, world.rng.choice(hosts), actions, news._replace(rules=()))
+        news = news._replace(rules=(), catalog=())
+        send_probe(world, world.rng.choice(hosts), now_ms, actions, news)
         own = len(hosts_by_domain[world.domain])
         even_ms = MILLISECONDS_PER_SECOND * own / len(domains) / ACROSS_PER_SECOND
         return max(ACROSS_FLOOR_MS, even_ms) * world.rng.uniform(0.8, 1.2)
@@ -76,9 +77,9 @@
             if now_ms - since_ms > FORGET_DEAD_MS:
                 forget_member(world, host)
 
-    def _reconnect(self, world: World, actions: list[Action]) -> None:
+    def _reconnect(self, world: World, now_ms: float, actions: list[Action]) -> None:
         rows = world.member_by_host
         own = sorted(world.fleet.hosts_by_domain[world.domain])
         dead = [host for host in own if not rows[host].alive]
         if dead:
-            send_probe(world, world.rng.choice(dead), actions)
+            send_probe(world, world.rng.choice(dead), now_ms, actions)
--- a/burdockmill/systems/probe_system.py
+++ b/burdockmill/systems/probe_system.py
@@ -146,6 +146,8 @@
             self._send(
                 world, host, now_ms, actions, News(members=(member_news(known),))
             )
+        confirmed_ms = now_ms - probe.confirmed_age_ms
+        world.fleet.confirmed_ms = max(world.fleet.confirmed_ms, confirmed_ms)
         world.put_event(CONFIG, RevisionSeen(host, probe.revision))
         if self._is_behind(world, probe, now_ms):
             self._send(world, host, now_ms, actions, kind=ProbeKind.ANSWER)
@@ -153,7 +155,7 @@
 
     def _is_behind(self, world: World, probe: Probe, now_ms: float) -> bool:
         since_ms = now_ms - world.fleet.in_force_since_ms
-        in_force = world.rules.revision if world.rules else 0
+        in_force = world.revision
         is_settled = since_ms > REVISION_SETTLE_MS
         return (
             probe.revision < in_force and is_settled and probe.kind == ProbeKind.PLAIN
@@ -224,7 +226,7 @@
         watch: bool = False,
         kind: ProbeKind = ProbeKind.PLAIN,
     ) -> None:
-        send_probe(world, host, actions, news, kind)
+        send_probe(world, host, now_ms, actions, news, kind)
         if watch and host not in self._stage_by_host:
             self._stage_by_host[host] = "late"
             world.due(self.name).schedule(DueKey("late", host), now_ms + LATE_MS)
--- a/burdockmill/systems/refresh_system.py
+++ b/burdockmill/systems/refresh_system.py
@@ -54,7 +54,7 @@
         world.due(self.name).schedule(LIMIT, now_ms + LIMIT_MS)
         near = self._ring.successors(world, len(self._ring.places(world)))
         for host in world.rng.sample(near, min(PEERS, len(near))):
-            send_probe(world, host, actions, kind=ProbeKind.ASK)
+            send_probe(world, host, now_ms, actions, kind=ProbeKind.ASK)
         reason = f"no tick for {late_ms:.0f} ms"
         actions.append(LogDecision("member", "", "refresh the view", reason))
 
--- a/burdockmill/tables/fleet.py
+++ b/burdockmill/tables/fleet.py
@@ -5,7 +5,7 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
-from burdockmill.messages.fleet import LeavingList, TableDigest
+from burdockmill.messages.fleet import UNCONFIRMED_MS, LeavingList, TableDigest
 from burdockmill.rules.store import RulesStore
 from burdockmill.tables.gathered_news import RecentNews
 from burdockmill.tables.hash_tree import HashTree
@@ -39,6 +39,7 @@
         self.in_force_from = ""
         self.newest_seen: Revision = 0
         self.refused_revision: Revision = 0
+        self.confirmed_ms = -UNCONFIRMED_MS
         self.refused_problems: tuple[str, ...] = ()
 
     def digest(self, domain: DomainId) -> TableDigest:
--- a/burdockmill/tables/gathered_news.py
+++ b/burdockmill/tables/gathered_news.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from burdockmill.messages.catalog import CatalogDelta
 from burdockmill.messages.fleet import (
     HoldingsNews,
     LeavingList,
@@ -15,7 +16,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-Item = MemberNews | HoldingsNews | RulesDelta | LeavingList
+Item = MemberNews | HoldingsNews | RulesDelta | LeavingList | CatalogDelta
+
+
+REVISED = (RulesDelta, CatalogDelta)
 
 
 class Subject(NamedTuple):
@@ -44,7 +48,7 @@
         for item in items_of(news):
             subject = subject_of(item)
             held = self._item_by_subject.get(subject)
-            if held == item or (held and isinstance(item, RulesDelta)):
+            if held == item or (held and isinstance(item, REVISED)):
                 del self._item_by_subject[subject]
 
     def news(self) -> News:
@@ -92,17 +96,20 @@
     yield from news.rules
     if news.listed is not None:
         yield news.listed
+    yield from news.catalog
 
 
 def news_of(items: list[Item]) -> News:
     """Return items as news."""
     listed = [item for item in items if isinstance(item, LeavingList)]
+    catalog = [item for item in items if isinstance(item, CatalogDelta)]
     rules = [item for item in items if isinstance(item, RulesDelta)]
     return News(
         tuple(item for item in items if isinstance(item, MemberNews)),
         tuple(item for item in items if isinstance(item, HoldingsNews)),
         tuple(sorted(rules, key=lambda delta: delta.revision)),
         listed[-1] if listed else None,
+        tuple(sorted(catalog, key=lambda delta: delta.revision)),
     )
 
 
@@ -115,4 +122,6 @@
             return Subject("holdings", item.upstream)
         case RulesDelta():
             return Subject("rules", str(item.revision))
+        case CatalogDelta():
+            return Subject("catalog", str(item.revision))
     return Subject("listed", "")
--- a/burdockmill/world.py
+++ b/burdockmill/world.py
@@ -8,6 +8,7 @@
 from burdockmill.policies.rate_limiter import RateLimiter
 from burdockmill.policies.refusal_memory import RefusalMemory
 from burdockmill.policies.retry_budget import RetryBudget
+from burdockmill.tables.catalog import Catalog
 from burdockmill.tables.due_index import DueIndex
 from burdockmill.tables.fleet import FleetTables
 from burdockmill.tables.upstream_view import UpstreamViews
@@ -16,7 +17,7 @@
     import random
 
     from burdockmill.messages.events import Event
-    from burdockmill.names import DomainId, HostId, UpstreamId
+    from burdockmill.names import DomainId, HostId, Revision, UpstreamId
     from burdockmill.rules.model import RuleSet
     from burdockmill.tables.rows import MemberRow, UpstreamRow
 
@@ -33,6 +34,7 @@
         self.member_by_host: dict[HostId, MemberRow] = {}
         self.upstream_by_id: dict[UpstreamId, UpstreamRow] = {}
         self.fleet = FleetTables()
+        self.catalog = Catalog()
         self.upstream_views = UpstreamViews()
         self.counter_by_name: Counter[str] = Counter()
         self.rates = RateLimiter()
@@ -47,6 +49,11 @@
         self._inbox_by_system: dict[str, list[Event]] = defaultdict(list)
         self._due_by_system: dict[str, DueIndex[Any]] = defaultdict(DueIndex)
 
+    @property
+    def revision(self) -> Revision:
+        """Return the revision in force: of the rules, else of the catalog."""
+        return self.catalog.revision if self.rules is None else self.rules.revision
+
     def live_host_count(self) -> int:
         """Return how many hosts take requests, as far as this host knows."""
         version, live = self._live_hosts
--- a/measure/decision_log.py
+++ b/measure/decision_log.py
@@ -8,10 +8,10 @@
 
 from loguru import logger
 
+from burdockmill.decision import Decision
 from burdockmill.decision_log import DecisionLog
 from burdockmill.logs import render, set_up_logs
 from burdockmill.messages.actions import LogDecision
-from burdockmill.surfaces.gateway import Decision
 from measure.records import Figure, write_records
 
 if TYPE_CHECKING:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -5,9 +5,10 @@
 import asyncio
 
 from burdockmill.clock import VirtualClock
+from burdockmill.decision import Decision
+from burdockmill.surfaces.gateway import Gateway
 from burdockmill.explanation import explain_here
 from burdockmill.settings import Settings
-from burdockmill.surfaces.gateway import Decision, Gateway
 
 
 class FakeGateway(Gateway):
