--- a/burdockmill/surfaces/listener.py
+++ b/burdockmill/surfaces/listener.py
@@ -53,7 +53,8 @@
             return 0
         idle = [one for one in server.connections if is_idle(one)]
         for handler in idle:
-            handler.close()
+            # A mere close would leave the transport open and its bytes unread.
+            handler.force_close()
         return len(idle)
 
     async def stop_accepting(self) -> None:
