--- /dev/null
+++ b/tests/builders_platform.py
@@ -0,0 +1,277 @@
+"""Stand in for the platform's store and upstreams, over real sockets."""
+
+import asyncio
+import json
+from base64 import b64encode
+
+from aiohttp import web
+
+SETTINGS = """\
+node-name=front-waw-a-1
+role=host
+ip=127.0.0.1
+zone=waw-a
+region=mazowsze
+zones.waw-a=mazowsze
+zones.krk-a=malopolska
+listen.front=127.0.0.1:8226
+listen.ready=127.0.0.1:8227
+listen.control=127.0.0.1:8224
+seeds=127.0.0.1:8224,127.0.0.2:8224
+limits.memory-mb=300
+bounds.drain-ms=3000
+bounds.config-apply-ms=4000
+bounds.grace-s=6
+bounds.retry-ratio=0.2
+bounds.retry-extra=58
+platform.address=127.0.0.1:8229
+some.new-key=ignored
+"""
+
+
+def configuration_of(routes, services, version=7):
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": name, "health-path": "/health", "max-conns": 26, "protocol": "h1"}
+            for name in services
+        ],
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 262144,
+            "header-timeout-ms": 3000,
+            "idle-timeout-ms": 15000,
+        },
+    }
+
+
+def search_route(services, **changes):
+    return {
+        "name": "r-search",
+        "host": "leave.example",
+        "prefix": "/overlap/",
+        "type": "safe",
+        "timeout-ms": 1200,
+        "latency-goal-ms": 132.5,
+        "priority": 1,
+        "gather": services,
+        "max-attempts": 2,
+        "top-k": 10,
+        "min-coverage": 0.5,
+    } | changes
+
+
+def single_route(service, **changes):
+    return {
+        "name": "r-single",
+        "host": "leave.example",
+        "prefix": "/fetch/",
+        "type": "safe",
+        "timeout-ms": 3000,
+        "latency-goal-ms": 317,
+        "priority": 2,
+        "service": service,
+        "max-attempts": 2,
+    } | changes
+
+
+def entry_of(service, address, **changes):
+    return {
+        "service": service,
+        "address": address,
+        "zone": "waw-a",
+        "version": "v1",
+        "slots": 2,
+        "state": "ready",
+        "cold-left-ms": 0,
+        "seq-num": 4,
+        "born": 1_784_828_135_565,
+    } | changes
+
+
+class StandinStore:
+    """Keep items by revision, and answer ranges and watches as the pages say."""
+
+    def __init__(self):
+        self.revision = 1
+        self.items = {}
+        self.events = []
+        self.kept_since = 0
+        self.page = 500
+        self.calls = 0
+        self.refusal = None
+        self._changed = asyncio.Event()
+        self._runner = None
+        self.address = ""
+
+    def put(self, key, value):
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.put_text(key, b64encode(raw).decode())
+
+    def put_text(self, key, text):
+        self.revision += 1
+        item = {"key": key, "value": text, "rev": self.revision, "lease": 0}
+        self.items[key] = item | {"created": self.revision}
+        self._tell(self.items[key])
+
+    def remove(self, key):
+        self.revision += 1
+        del self.items[key]
+        self._tell({"key": key, "rev": self.revision, "removed": True})
+
+    def compact(self):
+        self.kept_since = self.revision
+        self.events.clear()
+        self._wake()
+
+    def _tell(self, event):
+        self.events.append(event)
+        self._wake()
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def __aenter__(self):
+        self._runner = web.ServerRunner(web.Server(self._serve))
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0, shutdown_timeout=0.1)
+        await site.start()
+        self.address = f"127.0.0.1:{self._runner.addresses[0][1]}"
+        return self
+
+    async def __aexit__(self, *_):
+        self._wake()
+        await self._runner.cleanup()
+
+    async def _serve(self, request):
+        self.calls += 1
+        if self.refusal == "reset":
+            request.transport.abort()
+            return web.Response()
+        if self.refusal == "silent":
+            await asyncio.sleep(60)
+        if self.refusal is not None:
+            return web.Response(status=self.refusal)
+        if request.path == "/kv-range":
+            return self._range(request.query)
+        return await self._watch(request.query)
+
+    def _range(self, query):
+        keys = sorted(
+            key
+            for key in self.items
+            if key.startswith(query["prefix"]) and key > query.get("after", "")
+        )
+        page = keys[: self.page]
+        return web.json_response(
+            {
+                "items": [self.items[key] for key in page],
+                "has-more": len(keys) > len(page),
+                "store-revision": self.revision,
+            }
+        )
+
+    async def _watch(self, query):
+        after = int(query["after"])
+        changed = self._changed
+        if not self._after(after, query["prefix"]) and after >= self.kept_since:
+            wait_s = int(query["wait-ms"]) / 1_000
+            try:
+                async with asyncio.timeout(wait_s):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+        if after < self.kept_since:
+            return web.Response(status=410)
+        return web.json_response(
+            {
+                "events": self._after(after, query["prefix"]),
+                "store-revision": self.revision,
+            }
+        )
+
+    def _after(self, after, prefix):
+        return [
+            one
+            for one in self.events
+            if one["rev"] > after and one["key"].startswith(prefix)
+        ]
+
+
+class StandinUpstream:
+    """Answer on raw sockets; `script` may take over one request."""
+
+    def __init__(self, upstream, body=b"body"):
+        self.upstream = upstream
+        self.body = body
+        self.requests = []
+        self.connections = 0
+        self.closed = 0
+        self.delay_s = 0.0
+        self.script = None
+        self._server = None
+        self.address = ""
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return self
+
+    async def __aexit__(self, *_):
+        self._server.close()
+
+    def answer(self, request, body=None, status="200 OK", extra=""):
+        body = self.body if body is None else body
+        return (
+            f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n"
+            f"X-Burdockmill-Request-Id: {request['id']}\r\n"
+            f"X-Burdockmill-Server-Stamp: st.{self.upstream}.{request['id']}\r\n"
+            f"{extra}\r\n"
+        ).encode() + body
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while request := await self._read(reader):
+                self.requests.append(request)
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                if self.script is not None:
+                    done = await self.script(self, request, writer)
+                    if done:
+                        return
+                    continue
+                if request["expected"] != self.upstream:
+                    writer.write(self.answer(request, b"", "421 Misdirected Request"))
+                    continue
+                writer.write(self.answer(request))
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.closed += 1
+            writer.close()
+
+    async def _read(self, reader):
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        except asyncio.IncompleteReadError:
+            return None
+        line, *rest = head.rstrip().split("\r\n")
+        headers = {}
+        for one in rest:
+            name, _, value = one.partition(": ")
+            headers[name.lower()] = value
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        method, target, _ = line.split(" ")
+        return {
+            "method": method,
+            "target": target,
+            "headers": headers,
+            "body": body,
+            "id": headers.get("x-burdockmill-request-id"),
+            "left_ms": int(headers.get("x-burdockmill-deadline-ms", "0")),
+            "expected": headers.get("x-burdockmill-expect-instance"),
+        }
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -6,9 +6,9 @@
 
 from burdockmill.clock import VirtualClock
 from burdockmill.decision import Decision
-from burdockmill.surfaces.gateway import Gateway
 from burdockmill.explanation import explain_here
 from burdockmill.settings import Settings
+from burdockmill.surfaces.gateway import Gateway
 
 
 class FakeGateway(Gateway):
--- /dev/null
+++ b/tests/test_catalog.py
@@ -0,0 +1,139 @@
+"""Check that the catalog only goes forward, in whatever order it is told."""
+
+import random
+
+from hypothesis import given, settings, strategies as st
+
+from burdockmill.messages.catalog import CatalogDelta, Departed, Registered
+from burdockmill.tables.catalog import Catalog
+from tests.builders_forwarding import make_delta, make_registration, make_tables
+
+
+def with_tables(delta, version):
+    return delta._replace(tables=make_tables(version), tables_revision=delta.revision)
+
+
+def test_a_whole_copy_then_changes_are_in_force():
+    catalog = Catalog()
+    first = with_tables(make_delta(5, make_registration("u-1"), is_whole=True), 7)
+    change = catalog.apply(first, 0.0)
+    assert change.tables
+    assert catalog.revision == 5
+    assert catalog.routes.find("leave.example", "/overlap/x").name == "search"
+    moved = make_registration("u-1", draining=True)
+    catalog.apply(make_delta(6, moved, base=5), 0.0)
+    assert catalog.registration_by_upstream["u-1"].draining
+
+
+def test_an_older_configuration_and_an_older_registration_are_ignored():
+    catalog = Catalog()
+    catalog.apply(with_tables(make_delta(9, make_registration("u-1")), 7), 0.0)
+    stale = make_delta(4, make_registration("u-1", draining=True))
+    change = catalog.apply(with_tables(stale, 6), 0.0)
+    assert not change
+    assert catalog.tables.version == 7
+    assert catalog.revision == 9
+
+
+def test_a_lower_version_at_a_higher_revision_is_ignored():
+    catalog = Catalog()
+    catalog.apply(with_tables(make_delta(9), 7), 0.0)
+    catalog.apply(with_tables(make_delta(12, base=9), 6), 0.0)
+    assert catalog.tables.version == 7
+
+
+def test_a_delta_past_a_gap_is_used_but_does_not_claim_what_lies_between():
+    catalog = Catalog()
+    catalog.apply(make_delta(3, make_registration("u-1")), 0.0)
+    catalog.apply(make_delta(9, make_registration("u-2"), base=7), 0.0)
+    assert "u-2" in catalog.registration_by_upstream
+    assert catalog.revision == 3
+
+
+def test_a_registration_that_goes_with_grace_stays_until_it_ends():
+    catalog = Catalog()
+    catalog.apply(make_delta(1, make_registration("u-1")), 0.0)
+    gone = CatalogDelta(1, 2, departed=(Departed(2, "u-1", 2_300.0),))
+    change = catalog.apply(gone, 100.0)
+    assert change.departing == ("u-1",)
+    assert catalog.remove_left(2_399.0) == []
+    assert "u-1" in catalog.registration_by_upstream
+    assert catalog.remove_left(2_400.0) == ["u-1"]
+    assert not catalog.upstreams_by_service
+
+
+def test_a_registration_that_comes_back_within_its_grace_stays():
+    catalog = Catalog()
+    catalog.apply(make_delta(1, make_registration("u-1")), 0.0)
+    catalog.apply(CatalogDelta(1, 2, departed=(Departed(2, "u-1", 2_300.0),)), 0.0)
+    catalog.apply(make_delta(3, make_registration("u-1"), base=2), 500.0)
+    assert catalog.remove_left(9_000.0) == []
+    assert "u-1" in catalog.registration_by_upstream
+
+
+def test_a_whole_copy_removes_what_it_does_not_name_unless_that_is_newer():
+    catalog = Catalog()
+    catalog.apply(make_delta(4, make_registration("old")), 0.0)
+    catalog.apply(make_delta(9, make_registration("new"), base=4), 0.0)
+    catalog.apply(make_delta(6, make_registration("kept"), is_whole=True), 0.0)
+    catalog.remove_left(0.0)
+    assert set(catalog.registration_by_upstream) == {"new", "kept"}
+
+
+def test_a_host_that_is_far_behind_gets_a_whole_copy():
+    catalog = Catalog()
+    catalog.apply(make_delta(20, make_registration("u-1"), is_whole=True), 0.0)
+    offer = catalog.since(12, 0.0)
+    assert offer.is_whole
+    behind = Catalog()
+    behind.apply(make_delta(12, make_registration("u-0")), 0.0)
+    behind.apply(offer, 0.0)
+    behind.remove_left(0.0)
+    assert set(behind.registration_by_upstream) == {"u-1"}
+
+
+def history_of(seed, length):
+    """Return the changes of a store, one a revision."""
+    rng = random.Random(seed)
+    changes = []
+    for revision in range(1, length + 1):
+        name = f"u-{rng.randrange(6)}"
+        kind = rng.choice(("put", "put", "drain", "remove", "tables"))
+        if kind == "tables":
+            delta = with_tables(make_delta(revision, base=revision - 1), revision)
+        elif kind == "remove":
+            gone = (Departed(revision, name),)
+            delta = CatalogDelta(revision - 1, revision, departed=gone)
+        else:
+            row = make_registration(name, draining=kind == "drain")
+            delta = CatalogDelta(
+                revision - 1, revision, registered=(Registered(revision, row),)
+            )
+        changes.append(delta)
+    return changes
+
+
+def state_of(catalog):
+    catalog.remove_left(1e9)
+    version = catalog.tables.version if catalog.tables else 0
+    return version, dict(catalog.registration_by_upstream)
+
+
+@settings(max_examples=150, deadline=None)
+@given(seed=st.integers(0, 10_000), length=st.integers(1, 30), data=st.data())
+def test_hosts_that_hear_in_any_order_end_with_what_the_store_says(seed, length, data):
+    changes = history_of(seed, length)
+    store = Catalog()
+    for change in changes:
+        store.apply(change, 0.0)
+    host = Catalog()
+    order = data.draw(st.permutations(changes))
+    version = 0
+    for change in order:
+        host.apply(change, 0.0)
+        seen = host.tables.version if host.tables else 0
+        assert seen >= version
+        version = seen
+    host.apply(store.since(host.revision, 0.0), 0.0)
+    assert host.revision == store.revision
+    assert state_of(host) == state_of(store)
--- /dev/null
+++ b/tests/test_forwarding_client.py
@@ -0,0 +1,249 @@
+"""Check what attempts become of when upstreams misbehave on the wire."""
+
+import asyncio
+
+import pytest
+
+from burdockmill.clients.forwarding_client import ForwardingClient
+from burdockmill.clock import MonotonicClock
+from burdockmill.forwarding.actions import SendAttempt
+from burdockmill.forwarding.messages import AttemptEnd, AttemptKind
+from burdockmill.platform.upstream_codec import PlatformUpstreamCodec
+from tests.builders_forwarding import make_registration, make_request
+from tests.builders_platform import StandinUpstream
+
+
+class Caller:
+    """Send attempts to one stand-in."""
+
+    def __init__(self, upstream, limit=2):
+        self.upstream = upstream
+        self.clock = MonotonicClock()
+        self.client = ForwardingClient(
+            PlatformUpstreamCodec(), self.clock, lambda _: limit
+        )
+        self.number = 0
+
+    async def send(self, request_id=None, method="GET", body=b"", left_ms=1_000.0):
+        self.number += 1
+        registration = make_registration(
+            self.upstream.upstream, address=self.upstream.address
+        )
+        now_ms = self.clock.now_ms()
+        request = make_request(
+            request_id or f"r-{self.number}",
+            method=method,
+            body=body,
+            target="/overlap/%2f?q=a%20b",
+        )
+        action = SendAttempt(0, 0, registration, AttemptKind.FIRST, now_ms + left_ms)
+        done = asyncio.get_running_loop().create_future()
+        self.sending = self.client.send(request, action, done.set_result)
+        async with asyncio.timeout(5):
+            return await done
+
+
+@pytest.fixture
+async def upstream():
+    async with StandinUpstream("u-1") as started:
+        yield started
+
+
+@pytest.fixture
+async def caller(upstream):
+    made = Caller(upstream)
+    yield made
+    await made.client.close()
+
+
+async def test_method_target_body_and_id_arrive_unchanged(upstream, caller):
+    outcome = await caller.send("id-1", body=b"a body on GET")
+    assert outcome.end is AttemptEnd.ANSWERED
+    assert outcome.answer.body == b"body"
+    [request] = upstream.requests
+    assert (request["method"], request["target"]) == ("GET", "/overlap/%2f?q=a%20b")
+    assert (request["id"], request["body"]) == ("id-1", b"a body on GET")
+    assert request["expected"] == "u-1"
+    assert 900 <= request["left_ms"] <= 1_000
+    assert set(request["headers"]) == {
+        "host",
+        "content-length",
+        "x-burdockmill-deadline-ms",
+        "x-burdockmill-expect-instance",
+    } | ({"x-burdockmill-request-id"} if request["id"] else set())
+
+
+async def test_connections_are_kept(upstream, caller):
+    for _ in range(3):
+        await caller.send()
+    assert upstream.connections == 1
+
+
+async def test_another_owner_of_the_address_runs_nothing(upstream, caller):
+    upstream.upstream, name = "u-2", upstream.upstream
+    registration_name = name
+    caller.upstream = type(
+        "Named", (), {"upstream": registration_name, "address": upstream.address}
+    )
+    outcome = await caller.send()
+    assert outcome.end is AttemptEnd.WRONG_INSTANCE
+
+
+@pytest.mark.parametrize(
+    ("extra", "status", "end"),
+    [
+        ("X-Burdockmill-Not-Executed: 1\r\n", "503 Busy", AttemptEnd.NOT_RUN),
+        ("X-Burdockmill-Not-Executed: 1\r\n", "429 Busy", AttemptEnd.NOT_RUN),
+        ("", "500 Failed", AttemptEnd.UPSTREAM_ERROR),
+        ("Content-Encoding: gzip\r\n", "200 OK", AttemptEnd.WRONG_ANSWER),
+    ],
+)
+async def test_responses_mean_what_their_headers_say(
+    upstream, caller, extra, status, end
+):
+    async def script(self, request, writer):
+        writer.write(self.answer(request, status=status, extra=extra))
+
+    upstream.script = script
+    assert (await caller.send()).end is end
+
+
+async def test_a_success_without_a_stamp_is_no_answer(upstream, caller):
+    async def script(self, request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+
+    upstream.script = script
+    assert (await caller.send()).end is AttemptEnd.WRONG_ANSWER
+
+
+async def test_a_second_answer_is_never_taken_for_the_next_requests(upstream, caller):
+    async def script(self, request, writer):
+        writer.write(self.answer(request) + self.answer(request, b"extra"))
+
+    upstream.script = script
+    for number in range(3):
+        outcome = await caller.send(f"id-{number}")
+        assert outcome.answer.stamp == f"st.u-1.id-{number}"
+    assert upstream.connections == 3
+
+
+async def test_a_late_second_answer_is_skipped_by_its_id(upstream, caller):
+    late = []
+
+    async def script(self, request, writer):
+        # The extra answer to the last request comes where the next one is due.
+        writer.write(b"".join(late) + self.answer(request))
+        late[:] = [self.answer(request, b"late")]
+
+    upstream.script = script
+    for number in range(3):
+        outcome = await caller.send(f"id-{number}")
+        assert outcome.answer.stamp == f"st.u-1.id-{number}"
+        assert outcome.answer.body == b"body"
+    assert caller.client.counts["foreign_answers_skipped"] == 2
+
+
+async def test_bytes_on_an_idle_connection_end_it(upstream, caller):
+    writers = []
+
+    async def script(self, request, writer):
+        writers.append(writer)
+        writer.write(self.answer(request))
+
+    upstream.script = script
+    await caller.send()
+    writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Le")
+    while upstream.closed == 0:
+        await asyncio.sleep(0.005)
+    assert (await caller.send()).end is AttemptEnd.ANSWERED
+    assert upstream.connections == 2
+
+
+async def test_a_truncated_body_is_no_answer(upstream, caller):
+    async def script(self, request, writer):
+        writer.write(self.answer(request)[:-2])
+        await writer.drain()
+        return True
+
+    upstream.script = script
+    outcome = await caller.send()
+    assert outcome.end is AttemptEnd.WRONG_ANSWER
+
+
+def close_delimited(request):
+    return (
+        "HTTP/1.1 200 OK\r\n"
+        f"X-Burdockmill-Request-Id: {request['id']}\r\n"
+        "X-Burdockmill-Server-Stamp: s\r\n\r\npart"
+    ).encode()
+
+
+async def test_a_body_that_ends_with_its_connection_is_whole_when_closed(
+    upstream, caller
+):
+    async def script(self, request, writer):
+        writer.write(close_delimited(request))
+        return True
+
+    upstream.script = script
+    outcome = await caller.send()
+    assert outcome.end is AttemptEnd.ANSWERED
+    assert outcome.answer.body == b"part"
+
+
+async def test_a_body_that_ends_with_a_reset_is_no_answer(upstream, caller):
+    async def script(self, request, writer):
+        writer.write(close_delimited(request))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+        return True
+
+    upstream.script = script
+    outcome = await caller.send()
+    assert outcome.end is AttemptEnd.WRONG_ANSWER
+
+
+async def test_bytes_that_are_no_response_are_no_answer(upstream, caller):
+    async def script(self, request, writer):
+        writer.write(b"\x00\x01garbage\r\n\r\n")
+
+    upstream.script = script
+    assert (await caller.send()).end is AttemptEnd.WRONG_ANSWER
+
+
+async def test_a_reset_after_writing_may_have_run(upstream, caller):
+    async def script(self, request, writer):
+        writer.transport.abort()
+        return True
+
+    upstream.script = script
+    outcome = await caller.send()
+    assert outcome.end is AttemptEnd.BROKEN
+    assert not outcome.end.certainly_not_run
+
+
+async def test_a_refused_connection_has_not_run(upstream, caller):
+    await upstream.__aexit__()
+    outcome = await caller.send()
+    assert outcome.end is AttemptEnd.NOT_SENT
+    assert outcome.end.certainly_not_run
+
+
+async def test_a_connection_is_not_used_shortly_before_its_idle_limit(upstream, caller):
+    async def script(self, request, writer):
+        writer.write(self.answer(request, extra="Keep-Alive: timeout=0\r\n"))
+
+    upstream.script = script
+    await caller.send()
+    await caller.send()
+    assert upstream.connections == 2
+
+
+async def test_a_cancelled_attempt_closes_its_connection(upstream, caller):
+    upstream.delay_s = 5.0
+    sending = asyncio.ensure_future(caller.send())
+    while not upstream.requests:
+        await asyncio.sleep(0.005)
+    caller.sending.cancel()
+    assert (await sending).end is AttemptEnd.SILENT
--- /dev/null
+++ b/tests/test_forwarding_policies.py
@@ -0,0 +1,219 @@
+"""Replay the load pattern that each decision of forwarding answers."""
+
+import random
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from burdockmill.forwarding.messages import AttemptEnd, AttemptKind, AttemptOutcome
+from burdockmill.forwarding.observations import Observation
+from burdockmill.policies.answer_timing import answer_times, is_enough
+from burdockmill.policies.connection_share import connection_share
+from burdockmill.policies.departure_grace import RETURN_MS, departure_grace_ms
+from burdockmill.policies.hedge_timing import hedge_delay_ms
+from burdockmill.policies.repeat_budget import RepeatBudget, RepeatLimits
+from burdockmill.policies.return_time import return_after_ms
+from burdockmill.tables.latency_histogram import LatencyHistogram
+from tests.builders_forwarding import (
+    DOMAINS,
+    LIMITS,
+    LoadReplay,
+    Upstream,
+    make_planner,
+    make_route,
+    make_single_route,
+    replicas_of,
+    services_of,
+)
+
+PATH_MS = {"waw-a": 0.5, "krk-a": 12.0, "gda-a": 12.0}
+
+
+def upstreams_of(route, work_ms=11.0):
+    return [
+        Upstream(one, PATH_MS[one.domain], work_ms)
+        for service in services_of(route)
+        for one in replicas_of(service)
+    ]
+
+
+def pauses(rng, for_ms=10_000.0, every_ms=3_600.0, pause_ms=150.0):
+    begin_ms = rng.uniform(0.0, every_ms)
+    made = []
+    while begin_ms < for_ms:
+        made.append((begin_ms, begin_ms + pause_ms))
+        begin_ms += every_ms
+    return tuple(made)
+
+
+def test_pauses_of_upstreams_keep_searches_within_their_goal():
+    route = make_route()
+    rng = random.Random(5)
+    upstreams = upstreams_of(route)
+    for one in upstreams:
+        one.pauses = pauses(rng)
+    planner = make_planner()
+    replay = LoadReplay(route, upstreams, planner).run(12.0, 10_000.0)
+    assert replay.in_time() >= 0.99
+    complete = sum(one.missing == 0 for one in replay.result_by_request.values())
+    assert complete / len(replay.result_by_request) >= 0.97
+    arrivals = sum(one.arrivals for one in upstreams)
+    assert replay.repeats() <= 0.2 * arrivals
+
+
+def test_a_slow_upstream_is_left_for_a_region_further_away_and_comes_back():
+    route = make_single_route(latency_goal_ms=132.0)
+    upstreams = upstreams_of(route, work_ms=10.0)
+    local = upstreams[0]
+    local.work_ms = 95.0
+    planner = make_planner()
+    replay = LoadReplay(route, upstreams, planner)
+    replay.run(60.0, 3_000.0)
+    assert local.arrivals < 0.4 * len(replay.sent)
+    local.work_ms = 10.0
+    local.free_ms = [0.0] * local.slots
+    before = local.arrivals
+    later = LoadReplay(route, upstreams, planner, seed=2)
+    for one in upstreams:
+        one.free_ms = [0.0] * one.slots
+    planner.observations.of("payroll@waw-a").changed_ms = -10_000.0
+    later.run(60.0, 4_000.0)
+    assert local.arrivals - before > 0.7 * len(later.took_by_request)
+
+
+def test_an_upstream_that_fails_is_left_within_some_attempts():
+    route = make_single_route()
+    upstreams = upstreams_of(route)
+    broken = AttemptOutcome(AttemptEnd.BROKEN)
+    upstreams[0].outcome = lambda arrival: broken
+    replay = LoadReplay(route, upstreams, make_planner()).run(60.0, 3_000.0)
+    assert upstreams[0].arrivals < 0.35 * len(replay.took_by_request)
+    assert replay.in_time() >= 0.98
+
+
+def test_a_service_that_fails_as_a_whole_gets_few_more_attempts():
+    route = make_single_route()
+    upstreams = upstreams_of(route)
+    for one in upstreams:
+        one.outcome = lambda arrival: AttemptOutcome(AttemptEnd.BROKEN)
+    replay = LoadReplay(route, upstreams, make_planner()).run(60.0, 10_000.0)
+    asked = len(replay.took_by_request)
+    assert replay.repeats() <= LIMITS.ratio * asked + LIMITS.allowance
+
+
+def test_full_upstreams_refuse_at_once_and_truthfully():
+    route = make_single_route(is_idempotent=False)
+    upstreams = upstreams_of(route, work_ms=50.0)
+    for one in upstreams:
+        one.outcome = lambda arrival: AttemptOutcome(AttemptEnd.NOT_RUN)
+    replay = LoadReplay(route, upstreams, make_planner()).run(60.0, 1_000.0)
+    assert all(one.status == 503 for one in replay.result_by_request.values())
+    assert max(replay.took_by_request.values()) <= 3 * 2 * 12.0 + 1.0
+
+
+@settings(max_examples=100, deadline=None)
+@given(seed=st.integers(0, 1_000), hosts=st.integers(1, 12), busy=st.booleans())
+def test_all_hosts_together_stay_within_the_operators_bound(seed, hosts, busy):
+    rng = random.Random(seed)
+    limits = RepeatLimits(0.2, 58.0)
+    budgets = [RepeatBudget(limits) for _ in range(hosts)]
+    for budget in budgets:
+        budget.share_among(hosts, 0.0)
+    requests, repeats = [], []
+    for second in range(40):
+        rate = rng.choice((5, 200)) if busy else 60
+        for number in range(rate):
+            at_s = second + number / rate
+            budget = rng.choice(budgets)
+            budget.earn("shard-0")
+            requests.append(at_s)
+            while budget.spend("shard-0", AttemptKind.RETRY):
+                repeats.append(at_s)
+    for start in range(30):
+        spent = sum(start <= at_s < start + 10 for at_s in repeats)
+        asked = sum(start <= at_s < start + 10 for at_s in requests)
+        assert spent <= limits.ratio * asked + limits.allowance
+
+
+def test_hosts_that_seem_gone_keep_their_share_of_the_allowance():
+    budget = RepeatBudget(LIMITS)
+    budget.share_among(9, 0.0)
+    share = budget.capacity
+    budget.share_among(2, 10_000.0)
+    assert budget.capacity == share
+
+
+def test_retries_may_spend_what_hedges_must_leave():
+    budget = RepeatBudget(LIMITS)
+    while budget.spend("a", AttemptKind.HEDGE):
+        pass
+    assert budget.held("a") >= 0.19 * budget.capacity
+    assert budget.spend("a", AttemptKind.RETRY)
+
+
+def test_the_hedge_goes_once_most_have_answered_and_before_it_is_too_late():
+    latencies = LatencyHistogram()
+    for took_ms in range(1, 101):
+        latencies.add(float(took_ms))
+    usual_ms = hedge_delay_ms(latencies, 132.0, 1_000.0, 30.0)
+    assert 85.0 < usual_ms < 97.0
+    assert hedge_delay_ms(latencies, 132.0, 100.0, 30.0) < 70.0
+    assert hedge_delay_ms(LatencyHistogram(), 132.0, 1_000.0, 30.0) < 30.0
+
+
+def test_a_partial_answer_leaves_before_the_goal_and_any_before_the_deadline():
+    times = answer_times(1_000.0, 9.0, 2_200.0, 132.0, 1_200.0)
+    assert times.partial_ms < 1_000.0 + 132.0 - 9.0
+    assert times.final_ms < 2_200.0
+    assert answer_times(0.0, 3.0, 50.0, 132.0, 1_200.0).partial_ms <= 35.0
+
+
+@pytest.mark.parametrize(
+    ("covered", "total", "least", "enough"),
+    [(9, 10, 0.89, True), (8, 10, 0.89, False), (9, 10, 0.9, True), (0, 1, 0.0, False)],
+)
+def test_enough_is_the_stated_share_of_shards(covered, total, least, enough):
+    assert is_enough(covered, total, least) is enough
+
+
+def test_registrations_that_lapse_in_an_outage_stay_for_a_while():
+    assert departure_grace_ms(1, 30, None) == 0.0
+    assert departure_grace_ms(1, 30, 60_000.0) == 0.0
+    assert departure_grace_ms(1, 30, 1_000.0) == RETURN_MS
+    assert departure_grace_ms(20, 30, None) == RETURN_MS
+
+
+def test_connection_shares_leave_room_for_hosts_that_are_replaced():
+    for hosts in (1, 3, 7, 9, 12):
+        assert connection_share(26, hosts) * (hosts + 1) <= 26
+    assert connection_share(26, 84) == 1
+
+
+def test_the_time_to_return_is_of_use_to_the_client():
+    for left_ms in (50.0, 400.0, 3_000.0):
+        assert 0 < return_after_ms(left_ms) <= left_ms / 3.0
+
+
+def test_an_avoided_upstream_is_tested_once_at_a_time_and_cleared_by_an_answer():
+    seen = Observation()
+    seen.started(1, 0.0)
+    seen.ended(1, AttemptEnd.NOT_SENT, 5.0)
+    assert seen.suspect
+    assert not seen.may_probe(100.0)
+    assert seen.may_probe(500.0)
+    seen.started(2, 500.0)
+    assert not seen.may_probe(501.0)
+    seen.ended(2, AttemptEnd.ANSWERED, 510.0)
+    assert not seen.suspect
+
+
+def test_what_was_learnt_fades():
+    seen = Observation()
+    seen.started(1, 0.0)
+    seen.ended(1, AttemptEnd.ANSWERED, 100.0)
+    assert seen.faded(100.0) == 1.0
+    assert seen.faded(10_100.0) < 0.1
+
+
+def test_domains_are_those_of_the_replay():
+    assert set(PATH_MS) == set(DOMAINS)
--- /dev/null
+++ b/tests/test_request_run.py
@@ -0,0 +1,215 @@
+"""Check what one request sends, and when and how it is answered."""
+
+import pytest
+
+from burdockmill.errors import Ran
+from burdockmill.forwarding.messages import (
+    AttemptEnd,
+    AttemptKind,
+    AttemptOutcome,
+    MergedAnswer,
+)
+from tests.builders_forwarding import (
+    Run,
+    answered,
+    failed,
+    make_planner,
+    make_request,
+    make_route,
+    make_single_route,
+    record,
+    replicas_of,
+)
+
+NOT_RUN = AttemptOutcome(AttemptEnd.NOT_RUN)
+NOT_SENT = AttemptOutcome(AttemptEnd.NOT_SENT)
+BROKEN = AttemptOutcome(AttemptEnd.BROKEN)
+
+
+def test_a_search_asks_each_shard_in_its_own_domain_and_merges_the_greatest():
+    run = Run()
+    assert [action.upstream.domain for action in run.sent] == ["waw-a"] * 10
+    run.answer_all_but({}, 12.0)
+    assert run.result.missing == 0
+    assert run.result.body == b"".join(record(n) for n in range(10, 0, -1))
+    assert set(run.result.stamps) == {f"s-{n}" for n in range(10)}
+
+
+def test_equal_records_all_count_and_a_remainder_is_no_record():
+    run = Run(make_route(shards=2))
+    run.end(0, answered(record(7) + record(7) + b"short", "a"), 5.0)
+    run.end(1, answered(record(7) + record(9), "b"), 6.0)
+    assert run.result.body == record(9) + record(7) * 3
+
+
+def test_a_silent_shard_is_hedged_at_another_upstream_and_the_first_answer_counts():
+    run = Run()
+    run.answer_all_but({3}, 12.0)
+    assert run.result is None
+    run.tick(run.run.next_due_ms)
+    first, hedge = run.attempts_of(3)
+    assert hedge.kind is AttemptKind.HEDGE
+    assert hedge.upstream.upstream != first.upstream.upstream
+    run.end(hedge.attempt, answered(record(1)), 60.0)
+    assert run.result.missing == 0
+    assert first.attempt in run.withdrawn
+    run.end(first.attempt, answered(record(99)), 150.0)
+    assert run.result.body[:16] == record(10)
+
+
+def test_a_search_without_one_shard_is_answered_within_the_goal():
+    run = Run()
+    run.answer_all_but({3}, 12.0)
+    due_ms = 0.0
+    while run.result is None:
+        due_ms = run.run.next_due_ms
+        run.tick(due_ms)
+    assert run.result.missing == 1
+    assert 110.0 < due_ms < 132.0
+
+
+def test_a_search_below_its_least_coverage_waits_on():
+    run = Run()
+    run.answer_all_but({3, 4}, 12.0)
+    run.tick(130.0)
+    assert run.result is None
+    run.end(run.attempts_of(3)[0].attempt, answered(record(1)), 200.0)
+    assert run.result.missing == 1
+
+
+def test_a_search_that_cannot_be_covered_fails_at_once():
+    planner = make_planner(
+        lambda name: [] if name in ("shard-1", "shard-2") else replicas_of(name)
+    )
+    run = Run(planner=planner)
+    assert run.result.status == 502
+    assert run.result.ran is Ran.UNKNOWN
+
+
+def test_a_search_of_which_nothing_ran_is_refused_with_a_time_to_return():
+    run = Run(planner=make_planner(lambda name: []))
+    assert run.result.status == 503
+    assert run.result.ran is Ran.NO
+    assert 0 < run.result.retry_after_ms < 400
+
+
+def test_an_attempt_that_was_not_run_is_retried_elsewhere_and_is_no_run():
+    run = Run()
+    run.answer_all_but({0}, 10.0)
+    run.end(0, NOT_RUN, 11.0)
+    run.end(run.attempts_of(0)[1].attempt, NOT_RUN, 12.0)
+    assert [action.kind.value for action in run.attempts_of(0)] == [
+        "first",
+        "retry",
+        "retry",
+    ]
+    assert run.run.parts[0].possible_runs == 1
+
+
+def test_no_more_upstreams_than_allowed_may_run_a_part():
+    run = Run()
+    run.answer_all_but({0}, 10.0)
+    run.end(0, BROKEN, 11.0)
+    run.end(run.attempts_of(0)[1].attempt, BROKEN, 13.0)
+    assert len(run.attempts_of(0)) == 2
+    assert run.result.missing == 1
+
+
+def test_a_request_that_may_not_repeat_is_sent_once():
+    run = Run(make_single_route(is_idempotent=False))
+    run.tick(300.0)
+    assert len(run.sent) == 1
+    run.end(0, BROKEN, 310.0)
+    assert len(run.sent) == 1
+    assert run.result.status == 502
+    assert run.result.ran is Ran.UNKNOWN
+
+
+@pytest.mark.parametrize("outcome", [NOT_RUN, NOT_SENT])
+def test_a_request_that_may_not_repeat_goes_on_when_it_surely_did_not_run(outcome):
+    run = Run(make_single_route(is_idempotent=False))
+    run.end(0, outcome, 5.0)
+    assert len(run.sent) == 2
+    run.end(1, answered(b"done"), 80.0)
+    assert run.result.body == b"done"
+
+
+def test_a_refusal_of_all_upstreams_says_not_run_and_when_to_return():
+    run = Run(make_single_route(is_idempotent=False))
+    for attempt in range(3):
+        run.end(attempt, NOT_RUN, 5.0 + attempt)
+    assert run.result.status == 503
+    assert run.result.ran is Ran.NO
+    assert run.result.retry_after_ms > 0
+
+
+def test_an_upstreams_own_failure_is_passed_on_once_nothing_else_is_left():
+    run = Run(make_single_route())
+    run.end(0, failed(500, "first"), 20.0)
+    run.end(1, failed(500, "second"), 40.0)
+    assert (run.result.status, run.result.stamp) == (500, "second")
+
+
+def test_a_single_request_is_hedged_while_it_can_still_be_in_time():
+    run = Run(make_single_route())
+    while len(run.sent) == 1:
+        run.tick(run.run.next_due_ms)
+    run.end(1, answered(b"hedge"), 150.0)
+    assert run.result.body == b"hedge"
+
+
+def test_the_answer_comes_before_the_deadline_whatever_is_open():
+    run = Run(request=make_request(deadline_ms=400.0))
+    while run.result is None:
+        now_ms = run.run.next_due_ms
+        run.tick(now_ms)
+    assert now_ms <= 390.0
+    assert run.result.status == 504
+
+
+def test_the_operators_timeout_bounds_what_the_client_allows():
+    run = Run(make_route(timeout_ms=300.0), request=make_request(deadline_ms=9_000.0))
+    assert all(action.deadline_ms == 300.0 for action in run.sent)
+    while run.result is None:
+        now_ms = run.run.next_due_ms
+        run.tick(now_ms)
+    assert now_ms <= 300.0
+
+
+def test_no_attempt_is_sent_when_no_time_is_left():
+    run = Run(request=make_request(deadline_ms=5.0))
+    assert run.sent == []
+    assert run.result.status == 504
+
+
+def test_a_repeat_waits_for_the_budget():
+    planner = make_planner()
+    while planner.budget.spend("shard-3", AttemptKind.RETRY):
+        pass
+    run = Run(planner=planner)
+    run.answer_all_but({3}, 10.0)
+    run.tick(run.run.next_due_ms)
+    assert len(run.attempts_of(3)) == 1
+    assert run.run.next_due_ms < 110.0
+
+
+def test_a_suspect_upstream_is_tested_by_a_copy_and_not_by_the_request_itself():
+    planner = make_planner()
+    seen = planner.observations.of("payroll@waw-a")
+    seen.started(-1, 0.0)
+    seen.ended(-1, AttemptEnd.NOT_SENT, 1.0)
+    for _ in range(200):
+        planner.budget.earn("payroll")
+    run = Run(make_single_route(), planner, make_request(received_ms=900.0), 900.0)
+    kinds = {action.kind: action.upstream.domain for action in run.sent}
+    assert kinds[AttemptKind.PROBE] == "waw-a"
+    assert kinds[AttemptKind.FIRST] != "waw-a"
+
+
+def test_parts_of_a_merged_answer_are_those_it_names():
+    run = Run(make_route(shards=3, latency_goal_ms=60.0))
+    run.end(0, answered(record(3), "a"), 5.0)
+    run.end(2, answered(record(1), "c"), 6.0)
+    run.end(1, answered(record(2), "b"), 7.0)
+    assert isinstance(run.result, MergedAnswer)
+    assert run.result.stamps == ("a", "b", "c")
--- /dev/null
+++ b/tests/test_routes.py
@@ -0,0 +1,69 @@
+"""Check how requests find their route and services."""
+
+import random
+from collections import Counter
+
+import pytest
+
+from burdockmill.forwarding.routes import RouteIndex, WeightedService
+from burdockmill.forwarding.weighted_choice import WeightedChoices
+from tests.builders_forwarding import make_single_route
+
+
+@pytest.fixture
+def index():
+    return RouteIndex(
+        [
+            make_single_route("wide", prefix="/a/"),
+            make_single_route("narrow", prefix="/a/b/"),
+            make_single_route("other", host="other.example", prefix="/"),
+        ]
+    )
+
+
+@pytest.mark.parametrize(
+    ("host", "target", "found"),
+    [
+        ("leave.example", "/a/x", "wide"),
+        ("leave.example", "/a/", "wide"),
+        ("leave.example", "/a/b/", "narrow"),
+        ("leave.example", "/a/b/c/d?q=/a/", "narrow"),
+        ("leave.example", "/a/bc", "wide"),
+        ("leave.example", "/a", None),
+        ("leave.example", "/", None),
+        ("leave.example", "/x?/a/b/", None),
+        ("other.example", "/anything", "other"),
+        ("unknown.example", "/a/x", None),
+    ],
+)
+def test_the_longest_prefix_of_the_host_wins(index, host, target, found):
+    route = index.find(host, target)
+    assert (route.name if route else None) == found
+
+
+def test_a_split_follows_its_weights_in_any_run_of_requests():
+    services = (
+        WeightedService("a", 7),
+        WeightedService("b", 2),
+        WeightedService("c", 1),
+    )
+    route = make_single_route(services=services)
+    choices = WeightedChoices(random.Random(3))
+    dealt = [choices.service_of(route) for _ in range(1_000)]
+    for start in range(0, 900, 50):
+        counted = Counter(dealt[start : start + 100])
+        assert abs(counted["a"] - 70) <= 2
+        assert abs(counted["b"] - 20) <= 2
+        assert abs(counted["c"] - 10) <= 2
+
+
+def test_a_changed_split_is_dealt_anew_and_a_removed_one_forgotten():
+    route = make_single_route(
+        services=(WeightedService("a", 1), WeightedService("b", 1))
+    )
+    choices = WeightedChoices(random.Random(3))
+    choices.service_of(route)
+    moved = route._replace(services=(WeightedService("b", 1), WeightedService("c", 3)))
+    assert Counter(choices.service_of(moved) for _ in range(400))["c"] == 300
+    choices.keep(set())
+    assert not choices._choice_by_route
