--- a/burdockmill/clients/forwarding_client.py
+++ b/burdockmill/clients/forwarding_client.py
@@ -60,6 +60,7 @@
         self._limit_of = limit_of
         self._pool_by_upstream: dict[UpstreamId, UpstreamPool] = {}
         self._closing: set[asyncio.Task[None]] = set()
+        self._open: set[Sending] = set()
 
     def send(
         self,
@@ -69,10 +70,12 @@
     ) -> Sending:
         """Start an attempt; `on_end` gets its outcome, also when it is cancelled."""
         sending = Sending(action)
+        self._open.add(sending)
         loop = asyncio.get_running_loop()
         sending.task = loop.create_task(self._run(request, sending))
 
         def finish(task: asyncio.Task[AttemptOutcome]) -> None:
+            self._open.discard(sending)
             on_end(self._outcome_of(task, sending))
 
         sending.task.add_done_callback(finish)
@@ -95,7 +98,9 @@
                 pool.resize(self._limit_of(registration))
 
     async def close(self) -> None:
-        """Close all connections."""
+        """Stop all attempts and close all connections."""
+        for sending in list(self._open):
+            sending.cancel()
         self.retire(list(self._pool_by_upstream))
         await asyncio.gather(*self._closing, return_exceptions=True)
 
--- a/burdockmill/forwarding/planner.py
+++ b/burdockmill/forwarding/planner.py
@@ -82,9 +82,9 @@
         is_local = upstream.domain == self._domain
         self.observations.latencies(route.name, is_local).add(took_ms)
 
-    def may_repeat(self, service: ServiceId, kind: AttemptKind) -> bool:
+    def may_repeat(self, service: ServiceId, kind: AttemptKind, now_ms: float) -> bool:
         """Pay for a repeat; tell whether the budget allows it."""
-        return self.budget.spend(service, kind)
+        return self.budget.spend(service, kind, now_ms)
 
     def _rank(
         self,
--- a/burdockmill/forwarding/request_log.py
+++ b/burdockmill/forwarding/request_log.py
@@ -49,7 +49,7 @@
             "service": part.service,
             "upstream": upstream,
             "since_received_ms": _since(run, now_ms),
-            "budget_left": round(self._planner.budget.held(part.service), 1),
+            "budget_left": round(self._planner.budget.left(part.service, now_ms), 1),
             "latency_ms": _rounded(self._planner.observations.of(upstream).latency_ms),
             "others": _attempts(part.attempts[:-1], run),
         }
--- a/burdockmill/forwarding/request_run.py
+++ b/burdockmill/forwarding/request_run.py
@@ -99,7 +99,7 @@
             error = DeadlineExceededError("No time was left on arrival.")
             return [self._conclude(error, "no time left on arrival")]
         for part in self.parts:
-            self._planner.budget.earn(part.service)
+            self._planner.budget.earn(part.service, now_ms)
             self._send(part, AttemptKind.FIRST, now_ms, actions)
         self._settle(now_ms, actions)
         return actions
@@ -155,7 +155,7 @@
         if kind is AttemptKind.HEDGE and choice.expected_ms >= HOPELESS_MS:
             return False
         is_repeat = kind is not AttemptKind.FIRST
-        if is_repeat and not self._planner.may_repeat(part.service, kind):
+        if is_repeat and not self._planner.may_repeat(part.service, kind, now_ms):
             return False
         self._add(part, choice.upstream, kind, now_ms, actions)
         if kind is AttemptKind.FIRST and route.is_idempotent:
@@ -196,7 +196,7 @@
         suspect = self._planner.to_probe(part.service, chosen.upstream, now_ms)
         if suspect is None:
             return
-        if self._planner.may_repeat(part.service, AttemptKind.PROBE):
+        if self._planner.may_repeat(part.service, AttemptKind.PROBE, now_ms):
             self._add(part, suspect, AttemptKind.PROBE, now_ms, actions)
 
     def _hedge(self, part: PartRun, now_ms: float, actions: list[RunAction]) -> None:
--- a/burdockmill/forwarding/settings.py
+++ b/burdockmill/forwarding/settings.py
@@ -37,6 +37,7 @@
     region_by_domain: dict[DomainId, str]
     repeat_ratio: float
     repeat_allowance: float
+    repeat_window_ms: int
     change_limit_ms: int
     stop_grace_ms: int
     balancer_lag_ms: int = 2_300
@@ -81,6 +82,7 @@
     ),
     "repeat_ratio": _required(_number(0.0, "give a ratio of at least 0")),
     "repeat_allowance": _required(_number(0.0, "give a number of at least 0")),
+    "repeat_window_ms": _required(whole_field(100, 600_000)),
     "change_limit_ms": _required(whole_field(100, 600_000)),
     "stop_grace_ms": _required(whole_field(0, 600_000)),
     "balancer_lag_ms": whole_field(0, 600_000),
--- a/burdockmill/forwarding_node.py
+++ b/burdockmill/forwarding_node.py
@@ -231,7 +231,9 @@
             self.observations,
             world.catalog.leaves_ms_by_upstream,
         )
-        limits = RepeatLimits(settings.repeat_ratio, settings.repeat_allowance)
+        limits = RepeatLimits(
+            settings.repeat_ratio, settings.repeat_allowance, settings.repeat_window_ms
+        )
         self.budget = RepeatBudget(limits)
         planner = Planner(
             settings.domain, self._replicas_of, choice, self.budget, self.observations
--- a/burdockmill/platform/settings_file.py
+++ b/burdockmill/platform/settings_file.py
@@ -16,7 +16,6 @@
 
 # Where operators and the platform fetch metrics; deploy/system.toml names it too.
 OPERATOR_PORT = 9464
-SECONDS_KEY = "bounds.grace-s"
 MILLISECONDS_PER_SECOND = 1_000
 
 
@@ -36,9 +35,10 @@
     limits = [one for one in numbers if isinstance(one, int)]
     if len(limits) == len(CHANGE_LIMITS):
         document["change_limit_ms"] = min(limits)
-    grace_s = _number(found.get(SECONDS_KEY))
-    if isinstance(grace_s, int | float):
-        document["stop_grace_ms"] = int(grace_s * MILLISECONDS_PER_SECOND)
+    for key, name in SECONDS_BY_KEY.items():
+        seconds = _number(found.get(name))
+        if isinstance(seconds, int | float):
+            document[key] = int(seconds * MILLISECONDS_PER_SECOND)
     document["seeds"] = [one for one in found.get("seeds", "").split(",") if one]
     document["region_by_domain"] = {
         name.removeprefix("zones."): region
@@ -64,6 +64,10 @@
     "repeat_ratio": "bounds.retry-ratio",
     "repeat_allowance": "bounds.retry-extra",
 }
+SECONDS_BY_KEY = {
+    "repeat_window_ms": "bounds.retry-window-s",
+    "stop_grace_ms": "bounds.grace-s",
+}
 # Changes of configuration and of registrations travel the same way, so the
 # stricter bound holds for both.
 CHANGE_LIMITS = ("bounds.config-apply-ms", "bounds.drain-ms")
--- a/burdockmill/policies/repeat_budget.py
+++ b/burdockmill/policies/repeat_budget.py
@@ -1,12 +1,13 @@
 """Bound the attempts beyond each request's first, by service.
 
 Load pattern: a whole service is slow or fails, so that every host wants to hedge
-and retry at once. What first attempts earn, and this host's share of a fixed
-allowance, keep all hosts together under the operators' ratio in any window.
+and retry at once. In any window a host spends what its own requests allow, and its
+share of a fixed allowance; together all hosts stay under the operators' bound.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING, NamedTuple
 
 from burdockmill.forwarding.messages import AttemptKind
@@ -16,41 +17,55 @@
 
 # Head-room for hosts that this one does not know yet.
 SAFE_FRACTION = 0.8
-# The part of a full bucket that each kind of repeat leaves to more urgent ones.
-RESERVE_BY_KIND = {
-    AttemptKind.RETRY: 0.0,
-    AttemptKind.HEDGE: 0.2,
+# The part of the bound that each kind of repeat may use; the rest is for more
+# urgent ones.
+USABLE_BY_KIND = {
+    AttemptKind.RETRY: 1.0,
+    AttemptKind.HEDGE: 0.85,
     AttemptKind.PROBE: 0.5,
 }
-# A host that has just started holds this part of its bucket.
-START_FRACTION = 0.3
-
-
+# A host that has just started may replace one that spent in the same window.
+START_FRACTION = 0.5
 # Hosts that seem gone may be cut off and go on spending.
 HOSTS_KEPT_MS = 60_000.0
 
 
 class RepeatLimits(NamedTuple):
-    """Hold the operators' bound: a ratio of requests, and a fixed allowance."""
+    """Hold the operators' bound: a ratio of requests, and a fixed allowance.
+
+    Both hold in every span of `window_ms` milliseconds.
+    """
 
     ratio: float
     allowance: float
+    window_ms: float
+
+
+class _Spending:
+    """Hold when a service's requests and repeats were sent."""
+
+    __slots__ = ("repeats_ms", "requests_ms")
+
+    def __init__(self) -> None:
+        self.requests_ms: deque[float] = deque()
+        self.repeats_ms: deque[float] = deque()
+
+    def forget(self, before_ms: float) -> None:
+        for times_ms in (self.requests_ms, self.repeats_ms):
+            while times_ms and times_ms[0] <= before_ms:
+                times_ms.popleft()
 
 
 class RepeatBudget:
-    """Hold tokens by service; each first attempt earns a part of one."""
+    """Count requests and repeats by service over a sliding window."""
 
     def __init__(self, limits: RepeatLimits) -> None:
-        self._limits = limits
+        self.limits = limits
         self.hosts = 0
         self._most_hosts = 1
         self._most_until_ms = 0.0
-        self._tokens_by_service: dict[ServiceId, float] = {}
-
-    @property
-    def capacity(self) -> float:
-        """Return how many tokens a service's bucket holds here."""
-        return self._limits.allowance * SAFE_FRACTION / self._most_hosts
+        self._started_ms: float | None = None
+        self._spending_by_service: dict[ServiceId, _Spending] = {}
 
     def share_among(self, hosts: int, now_ms: float) -> None:
         """Take this host's share among the hosts that may spend in a window."""
@@ -59,28 +74,34 @@
             self._most_hosts = max(1, hosts)
         self._most_until_ms = now_ms + HOSTS_KEPT_MS
 
-    def earn(self, service: ServiceId) -> None:
+    def earn(self, service: ServiceId, now_ms: float) -> None:
         """Note a request's first attempt at a service."""
-        earned = self._tokens(service) + self._limits.ratio * SAFE_FRACTION
-        self._tokens_by_service[service] = min(self.capacity, earned)
+        if self._started_ms is None:
+            self._started_ms = now_ms
+        spending = self._spending_by_service.setdefault(service, _Spending())
+        spending.requests_ms.append(now_ms)
 
-    def spend(self, service: ServiceId, kind: AttemptKind) -> bool:
+    def spend(self, service: ServiceId, kind: AttemptKind, now_ms: float) -> bool:
         """Pay for one repeat; tell whether the budget allows it."""
-        held = self._tokens(service)
-        if held < 1.0 or held - 1.0 < RESERVE_BY_KIND[kind] * self.capacity:
+        if self.left(service, now_ms, USABLE_BY_KIND[kind]) < 1.0:
             return False
-        self._tokens_by_service[service] = held - 1.0
+        self._spending_by_service[service].repeats_ms.append(now_ms)
         return True
 
-    def held(self, service: ServiceId) -> float:
-        """Return the tokens that a service's bucket holds."""
-        return self._tokens(service)
+    def left(self, service: ServiceId, now_ms: float, usable: float = 1.0) -> float:
+        """Return how many repeats a part of the bound still allows."""
+        spending = self._spending_by_service.setdefault(service, _Spending())
+        spending.forget(now_ms - self.limits.window_ms)
+        allowance = self.limits.allowance / self._most_hosts
+        if self._started_ms is None or (
+            now_ms - self._started_ms < self.limits.window_ms
+        ):
+            allowance *= START_FRACTION
+        earned = self.limits.ratio * len(spending.requests_ms)
+        bound = SAFE_FRACTION * (allowance + earned) * usable
+        return bound - len(spending.repeats_ms)
 
     def keep(self, services: set[ServiceId]) -> None:
         """Forget services that are gone."""
-        for service in self._tokens_by_service.keys() - services:
-            del self._tokens_by_service[service]
-
-    def _tokens(self, service: ServiceId) -> float:
-        start = self.capacity * START_FRACTION
-        return min(self.capacity, self._tokens_by_service.get(service, start))
+        for service in self._spending_by_service.keys() - services:
+            del self._spending_by_service[service]
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -24,6 +24,7 @@
 bounds.grace-s=6
 bounds.retry-ratio=0.2
 bounds.retry-extra=58
+bounds.retry-window-s=10
 platform.address=127.0.0.1:8229
 some.new-key=ignored
 """
