Let the reader of a domain confirm the catalog to its other hosts

Cause: probes along the ring carry a confirmation only every other second to each host, so hosts that need not read the store did (test with three hosts: two read). Test: one host of a domain reads; when it is turned away the others read in time.

--- a/burdockmill/clients/catalog_reader.py
+++ b/burdockmill/clients/catalog_reader.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from burdockmill.clients.catalog_source import HistoryLostError, StoreError
-from burdockmill.messages.events import CatalogRead
+from burdockmill.messages.events import CatalogConfirmed, CatalogRead
 from burdockmill.policies.departure_grace import departure_grace_ms
 from burdockmill.policies.store_duty import StoreDuty, store_duty
 
@@ -100,10 +100,11 @@
                 return 0.0
         self._note_success()
         is_news = bool(delta.registered or delta.departed or delta.tables)
-        self._confirm(asked_ms if delta.is_whole else self._clock.now_ms())
+        confirmed_ms = asked_ms if delta.is_whole else self._clock.now_ms()
         self._watched = max(self._watched, delta.revision)
         if is_news:
             self._emit(CatalogRead(self._with_grace(delta)))
+        self._emit(CatalogConfirmed(confirmed_ms))
         return GATHER_MS if is_news else 0.0
 
     def _with_grace(self, delta: CatalogDelta) -> CatalogDelta:
@@ -115,10 +116,6 @@
         departed = tuple(one._replace(grace_ms=grace_ms) for one in delta.departed)
         return delta._replace(departed=departed, grace_ms=grace_ms)
 
-    def _confirm(self, at_ms: float) -> None:
-        fleet = self._world.fleet
-        fleet.confirmed_ms = max(fleet.confirmed_ms, at_ms)
-
     def _duty(self) -> StoreDuty:
         return store_duty(
             self._world, self._ring, self._clock.now_ms(), self._unconfirmed_limit_ms
--- a/burdockmill/messages/events.py
+++ b/burdockmill/messages/events.py
@@ -184,6 +184,12 @@
     delta: CatalogDelta
 
 
+class CatalogConfirmed(NamedTuple):
+    """Report that the store had nothing newer at `at_ms`, a clock time."""
+
+    at_ms: float
+
+
 class CatalogReceived(NamedTuple):
     """Report changes of the catalog that a peer passed on."""
 
@@ -238,6 +244,7 @@
     | Learned
     | DeltasReceived
     | CatalogRead
+    | CatalogConfirmed
     | CatalogReceived
     | CatalogChanged
     | RevisionSeen
--- a/burdockmill/systems/catalog_system.py
+++ b/burdockmill/systems/catalog_system.py
@@ -8,6 +8,7 @@
 from burdockmill.messages.catalog import CatalogAsk, CatalogDelta, CatalogOffer
 from burdockmill.messages.events import (
     CatalogChanged,
+    CatalogConfirmed,
     CatalogRead,
     CatalogReceived,
     Event,
@@ -16,6 +17,7 @@
 )
 from burdockmill.messages.fleet import News
 from burdockmill.systems._intake import CONFIG, learn
+from burdockmill.systems._probes import send_probe
 from burdockmill.systems.system import System
 
 if TYPE_CHECKING:
@@ -26,6 +28,9 @@
 ASK_WAIT_MS = 150.0
 # An ask that brought nothing is repeated, perhaps to another peer.
 ASK_REPEAT_MS = 500.0
+# A reader tells this many hosts that its catalog is the newest; in larger domains
+# the probes among hosts pass it on.
+CONFIRM_FANOUT = 16
 STORE = "store"
 ASK, LEAVE = "ask", "leave"
 
@@ -34,7 +39,14 @@
     """Put newer revisions of the catalog in force, never older ones."""
 
     name = CONFIG
-    handles = (CatalogRead, CatalogReceived, RevisionSeen, CatalogAsk, CatalogOffer)
+    handles = (
+        CatalogRead,
+        CatalogConfirmed,
+        CatalogReceived,
+        RevisionSeen,
+        CatalogAsk,
+        CatalogOffer,
+    )
 
     def __init__(self) -> None:
         self._revision_by_host: dict[HostId, Revision] = {}
@@ -59,6 +71,8 @@
                 slim = world.catalog.slim(event.delta)
                 self._apply(world, event.delta, STORE, now_ms, actions)
                 learn(world, News(catalog=(slim,)))
+            case CatalogConfirmed():
+                self._confirm(world, event.at_ms, now_ms, actions)
             case CatalogReceived():
                 for delta in event.deltas:
                     self._apply(world, delta, event.sender, now_ms, actions)
@@ -70,6 +84,21 @@
             case PeerReceived(message=CatalogOffer() as offer):
                 self._take_offer(world, event.sender, offer, now_ms, actions)
 
+    def _confirm(
+        self, world: World, at_ms: float, now_ms: float, actions: list[Action]
+    ) -> None:
+        """Tell the own domain, so that no other host has to read the store."""
+        world.fleet.confirmed_ms = max(world.fleet.confirmed_ms, at_ms)
+        rows = world.member_by_host
+        others = [
+            host
+            for host in sorted(world.fleet.hosts_by_domain[world.domain])
+            if host != world.host and rows[host].alive
+        ]
+        told = world.rng.sample(others, min(CONFIRM_FANOUT, len(others)))
+        for host in told:
+            send_probe(world, host, now_ms, actions)
+
     def _take_offer(
         self,
         world: World,
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -135,9 +135,9 @@
         self._changed = asyncio.Event()
 
     async def __aenter__(self):
-        self._runner = web.ServerRunner(web.Server(self._serve))
+        self._runner = web.ServerRunner(web.Server(self._serve), shutdown_timeout=0.1)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", 0, shutdown_timeout=0.1)
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
         await site.start()
         self.address = f"127.0.0.1:{self._runner.addresses[0][1]}"
         return self
--- /dev/null
+++ b/tests/test_forwarding_node.py
@@ -0,0 +1,254 @@
+"""Check one host and its fleet from what clients, upstreams and operators see."""
+
+import asyncio
+import json
+import urllib.request
+
+import pytest
+
+from tests.builders_forwarding_node import Site, free_address, until
+from tests.builders_platform import search_route, single_route
+
+
+@pytest.fixture
+async def site():
+    async with Site() as started:
+        await started.ready()
+        yield started
+
+
+def stamps_of(answer):
+    return answer.headers["x-burdockmill-part-stamps"].split(", ")
+
+
+async def test_a_search_is_answered_from_every_shard(site):
+    answer = await site.client().ask("/overlap/2f")
+    assert answer.status == 200
+    assert answer.body == b"b" * 16 + b"a" * 16
+    assert answer.headers["x-burdockmill-parts-missing"] == "0"
+    assert len(stamps_of(answer)) == 2
+
+
+async def test_method_path_query_headers_and_body_reach_the_upstream(site):
+    answer = await site.client().ask(
+        "/fetch/%2F..%20x?q=%41&r=/a//b",
+        body=b"a body on GET",
+        Extra="kept",
+        Connection="keep-alive, Private",
+        Private="dropped",
+        **{"Accept-Encoding": "identity"},
+    )
+    assert answer.body == b"c" * 16
+    [request] = site.upstream_by_service["c"].requests
+    assert request["target"] == "/fetch/%2F..%20x?q=%41&r=/a//b"
+    assert request["body"] == b"a body on GET"
+    assert request["headers"]["extra"] == "kept"
+    assert "private" not in request["headers"]
+    assert "user-agent" not in request["headers"]
+    assert request["left_ms"] <= 1_000
+
+
+async def test_a_chunked_body_arrives_whole(site):
+    client = site.client()
+    await client.send("/once/x", method="POST", **{"Transfer-Encoding": "chunked"})
+    client.writer.write(b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+    assert (await client.read()).status == 200
+    assert site.upstream_by_service["c"].requests[0]["body"] == b"abcde"
+
+
+async def test_the_upstreams_own_failure_is_passed_on_unchanged(site):
+    async def script(self, request, writer):
+        writer.write(self.answer(request, b"why", "500 Failed"))
+
+    site.upstream_by_service["c"].script = script
+    answer = await site.client().ask("/once/x", method="POST")
+    assert (answer.status, answer.body) == (500, b"why")
+    assert "x-burdockmill-server-stamp" in answer.headers
+
+
+async def test_a_request_of_no_route_is_not_found_and_a_body_above_the_limit_refused(
+    site,
+):
+    assert (await site.client().ask("/nowhere/x")).status == 404
+    assert (await site.client().ask("/once/x", body=b"x" * 1_001)).status == 413
+    assert site.upstream_by_service["c"].requests == []
+
+
+async def test_a_full_service_is_refused_with_a_time_to_return(site):
+    async def script(self, request, writer):
+        extra = "X-Burdockmill-Not-Executed: 1\r\n"
+        writer.write(self.answer(request, b"", "503 Busy", extra))
+
+    site.upstream_by_service["c"].script = script
+    answer = await site.client().ask("/once/x", method="POST")
+    assert answer.status == 503
+    assert 0.0 < float(answer.headers["retry-after"]) < 0.34
+    body = json.loads(answer.body)
+    assert body["ran"] == "no"
+
+
+async def test_a_client_that_leaves_ends_the_work(site):
+    upstream = site.upstream_by_service["c"]
+    upstream.delay_s = 5.0
+    client = site.client()
+    await client.send("/fetch/x", deadline_ms=4_000)
+    await until(lambda: upstream.requests, "the request arrives")
+    client.close()
+
+    def is_stopped():
+        return not site.nodes[0].forwarder.open_runs
+
+    await until(is_stopped, "the run ends", 0.5)
+    assert site.nodes[0].forwarder.counts["clients_gone"] == 1
+    assert not site.nodes[0].client._open
+
+
+async def test_a_configuration_that_drops_a_route_is_followed(site):
+    client = site.client()
+    assert (await client.ask("/fetch/x")).status == 200
+    site.publish(8, [search_route(["a", "b"])])
+    catalog = site.nodes[0].engine.world.catalog
+    await until(lambda: catalog.tables.version == 8, "version 8 is in force", 2.0)
+    assert (await client.ask("/fetch/x")).status == 404
+
+
+async def test_an_older_version_written_later_is_ignored(site):
+    site.publish(5, [search_route(["a", "b"])])
+    before = site.store.revision
+    site.register("a")
+    catalog = site.nodes[0].engine.world.catalog
+    await until(lambda: catalog.revision > before, "the change arrives")
+    assert catalog.tables.version == 7
+
+
+async def test_a_draining_upstream_gets_no_new_work(site):
+    site.register("c", state="draining")
+    catalog = site.nodes[0].engine.world.catalog
+    await until(
+        lambda: catalog.registration_by_upstream["u-c"].draining, "the drain is known"
+    )
+    answer = await site.client().ask("/once/x", method="POST")
+    assert answer.status == 503
+    assert site.upstream_by_service["c"].requests == []
+
+
+async def test_a_lost_history_is_read_again(site):
+    site.store.compact()
+    site.register("a", slots=5)
+    site.store.compact()
+    catalog = site.nodes[0].engine.world.catalog
+    await until(
+        lambda: catalog.registration_by_upstream["u-a"].slots == 5, "it is read again"
+    )
+
+
+async def test_an_upstream_of_another_incarnation_is_met_afresh(site):
+    client = site.client()
+    await client.ask("/fetch/x")
+    node = site.nodes[0]
+    assert node.observations.of("u-c").latency_ms is not None
+    site.register("c", born=1_999_999_999_999)
+    await until(
+        lambda: node.observations.of("u-c").latency_ms is None, "it is met afresh"
+    )
+    assert (await client.ask("/fetch/x")).status == 200
+
+
+async def test_a_host_that_the_store_refuses_follows_the_others():
+    async with Site(hosts=1) as site:
+        await site.ready()
+        lonely = await site.start(free_address(), store_address=free_address())
+        catalog = lonely.engine.world.catalog
+        await until(lambda: catalog.tables is not None, "it learns from its peer")
+        site.publish(8, [single_route("c")])
+        await until(lambda: catalog.tables.version == 8, "it follows", 3.0)
+        site.register("c", state="draining")
+        await until(
+            lambda: catalog.registration_by_upstream["u-c"].draining, "and drains", 3.0
+        )
+
+
+async def test_one_host_of_a_domain_reads_the_store():
+    async with Site(hosts=3) as site:
+        await site.ready()
+        await until(
+            lambda: all(
+                node.engine.world.live_host_count() == 3 for node in site.nodes
+            ),
+            "all know each other",
+        )
+        await asyncio.sleep(1.5)
+        before = [node.source.counts["calls"] for node in site.nodes]
+        await asyncio.sleep(2.0)
+        after = [node.source.counts["calls"] for node in site.nodes]
+        reading = [one - two for one, two in zip(after, before, strict=True)]
+        assert sum(count > 0 for count in reading) == 1
+
+
+async def test_when_the_reader_is_turned_away_the_others_read_within_the_limit():
+    async with Site(hosts=3) as site:
+        await site.ready()
+        nodes = site.nodes
+        await until(
+            lambda: all(node.engine.world.live_host_count() == 3 for node in nodes),
+            "all know each other",
+        )
+        await asyncio.sleep(1.0)
+        reader = max(nodes, key=lambda node: node.source.counts["calls"])
+        reader.source._address = free_address()
+        await asyncio.sleep(1.2)
+        site.publish(8, [single_route("c")])
+        await until(
+            lambda: all(
+                node.engine.world.catalog.tables.version == 8 for node in nodes
+            ),
+            "all follow",
+            3.0,
+        )
+
+
+async def test_a_stop_answers_what_it_has_read_and_closes_idle_connections(site):
+    node = site.nodes[0]
+    upstream = site.upstream_by_service["c"]
+    idle, busy = site.client(), site.client()
+    await idle.ask("/fetch/x")
+    upstream.delay_s = 0.5
+    await busy.send("/once/x", method="POST", deadline_ms=3_000)
+    await until(lambda: len(upstream.requests) == 2, "the request arrives")
+    stopping = asyncio.ensure_future(node.stop())
+    await asyncio.sleep(0)
+    assert not node.ready
+    answer = await busy.read()
+    assert answer.status == 200
+    assert answer.headers["connection"] == "close"
+    assert await idle.reader.read() == b""
+    await stopping
+
+
+async def test_operators_read_metrics_status_and_explanations(site):
+    client = site.client()
+    await client.ask("/overlap/2f")
+    node = site.nodes[0]
+    base = f"http://{node.settings.operator_address}"
+
+    def fetch(path):
+        return urllib.request.urlopen(base + path, timeout=5).read().decode()
+
+    metrics = await asyncio.to_thread(fetch, "/metrics")
+    assert 'burdockmill_answer_seconds_count{host="' in metrics
+    assert 'kind="search",outcome="complete"' in metrics
+    status = json.loads(await asyncio.to_thread(fetch, "/v1/status"))
+    assert (status["state"], status["configuration"]) == ("ready", 7)
+    assert len(status["upstreams"]) == 3
+    name = f"id-{id(client)}-1"
+    told = json.loads(await asyncio.to_thread(fetch, f"/v1/explain/{name}"))
+    assert [made["part"] for made in told["decisions"]] == ["answer"]
+
+
+async def test_readiness_follows_the_catalog_and_the_stop():
+    async with Site(hosts=0) as site:
+        node = await site.start(free_address(), store_address=free_address())
+        answer = await site.client(node).ask("/fetch/x")
+        assert answer.status == 503
+        assert json.loads(answer.body)["kind"] == "not_ready"
+        assert not node.ready
--- /dev/null
+++ b/tests/test_line_writer.py
@@ -0,0 +1,32 @@
+"""Check that a log nobody reads blocks nobody."""
+
+import os
+import time
+
+from burdockmill._line_writer import LineWriter
+
+
+def test_lines_arrive_whole_and_in_order():
+    read_end, write_end = os.pipe()
+    with os.fdopen(write_end, "w") as stream, os.fdopen(read_end) as reader:
+        writer = LineWriter(stream)
+        for number in range(1_000):
+            writer.write(f"line {number}\n")
+        writer.close()
+        stream.close()
+        assert reader.read().splitlines() == [f"line {n}" for n in range(1_000)]
+    assert writer.left_out == 0
+
+
+def test_a_reader_that_stops_costs_lines_and_no_time():
+    read_end, write_end = os.pipe()
+    stream = os.fdopen(write_end, "w")
+    writer = LineWriter(stream, queue_bytes=100_000)
+    started = time.monotonic()
+    for number in range(20_000):
+        writer.write(f"a line that nobody reads, number {number}\n")
+    assert time.monotonic() - started < 2.0
+    assert writer.left_out > 10_000
+    with os.fdopen(read_end) as reader:
+        first = [reader.readline() for _ in range(100)]
+    assert all(line.endswith("\n") for line in first)
--- /dev/null
+++ b/tests/test_platform_settings.py
@@ -0,0 +1,114 @@
+"""Check how the platform's settings file becomes checked settings."""
+
+import re
+from pathlib import Path
+
+import pytest
+from hypothesis import given, strategies as st
+from returns.result import Failure, Success
+
+from burdockmill.platform import daemon
+from burdockmill.platform.settings_file import parse_platform_settings
+from tests.builders_platform import SETTINGS
+
+ROOT = Path(__file__).parent.parent
+
+
+def without(name):
+    return "\n".join(
+        line for line in SETTINGS.splitlines() if not line.startswith(name)
+    )
+
+
+def test_reads_what_the_platform_writes_and_ignores_what_it_does_not_know():
+    settings = parse_platform_settings(SETTINGS).unwrap()
+    assert settings.host == settings.peer_address == "127.0.0.1:8224"
+    assert settings.ingress_address == "127.0.0.1:8226"
+    assert settings.store_address == "127.0.0.1:8229"
+    assert settings.seeds == ("127.0.0.1:8224", "127.0.0.2:8224")
+    assert settings.region_by_domain == {"waw-a": "mazowsze", "krk-a": "malopolska"}
+    assert (settings.repeat_ratio, settings.repeat_allowance) == (0.2, 58.0)
+    assert settings.repeat_window_ms == 10_000
+    assert settings.change_limit_ms == 3_000
+    assert settings.stop_grace_ms == 6_000
+
+
+@pytest.mark.parametrize(
+    ("name", "key"),
+    [
+        ("zone=", "domain"),
+        ("listen.front", "ingress_address"),
+        ("listen.control", "peer_address"),
+        ("platform.address", "store_address"),
+        ("bounds.grace-s", "stop_grace_ms"),
+        ("bounds.retry-ratio", "repeat_ratio"),
+        ("bounds.drain-ms", "change_limit_ms"),
+    ],
+)
+def test_each_missing_value_is_named_with_its_remedy(name, key):
+    problems = parse_platform_settings(without(name)).failure()
+    assert key in [problem.key for problem in problems]
+    assert all(problem.remedy for problem in problems)
+
+
+def test_all_problems_are_named_at_once():
+    text = SETTINGS.replace("127.0.0.1:8226", "nowhere").replace(
+        "ratio=0.2", "ratio=many"
+    )
+    keys = {problem.key for problem in parse_platform_settings(text).failure()}
+    assert keys == {"ingress_address", "repeat_ratio"}
+
+
+@given(st.text())
+def test_any_text_gives_settings_or_problems(text):
+    parsed = parse_platform_settings(text)
+    assert isinstance(parsed, Success | Failure)
+
+
+def test_the_daemon_refuses_bad_settings_with_all_reasons(
+    tmp_path, monkeypatch, capsys
+):
+    path = tmp_path / "boot.conf"
+    path.write_text(without("zone="))
+    monkeypatch.setenv("BURDOCKMILL_CONFIG", str(path))
+    with pytest.raises(SystemExit) as left:
+        daemon.main()
+    assert left.value.code == 2
+    assert "setting domain: it is missing" in capsys.readouterr().err
+
+
+def test_the_daemon_says_which_variable_is_missing(monkeypatch, capsys):
+    monkeypatch.delenv("BURDOCKMILL_CONFIG", raising=False)
+    with pytest.raises(SystemExit):
+        daemon.main()
+    assert "BURDOCKMILL_CONFIG" in capsys.readouterr().err
+
+
+PLATFORM_WORDS = re.compile(
+    r"X-Burdockmill-|kv-(range|watch|key)|op/config|servers/|seq-num|cold-left-ms"
+    r"|latency-goal-ms|min-coverage|top-k|max-attempts|max-conns|health-path"
+    r"|BURDOCKMILL_CONFIG|boot\.conf|listen\.front|bounds\.(drain|retry|grace)"
+)
+
+
+def test_only_the_adapter_knows_the_platforms_names():
+    for path in (ROOT / "burdockmill").rglob("*.py"):
+        if "platform" in path.relative_to(ROOT / "burdockmill").parts[:1]:
+            continue
+        found = PLATFORM_WORDS.search(path.read_text())
+        assert found is None, f"{path}: {found.group()}"
+
+
+def test_the_adapter_is_small():
+    def lines(paths):
+        return sum(len(path.read_text().splitlines()) for path in paths)
+
+    adapter = lines((ROOT / "burdockmill" / "platform").glob("*.py"))
+    assert adapter < 0.1 * lines((ROOT / "burdockmill").rglob("*.py"))
+
+
+def test_the_deploy_file_names_the_operators_port():
+    from burdockmill.platform.settings_file import OPERATOR_PORT
+
+    text = (ROOT / "deploy" / "system.toml").read_text()
+    assert f'metrics = "{OPERATOR_PORT}/metrics"' in text
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,137 @@
+"""Check how the store's answers become the catalog's changes."""
+
+import pytest
+
+from burdockmill.clients.catalog_source import HistoryLostError, StoreError
+from burdockmill.platform.store_source import StoreSource
+from tests.builders_platform import (
+    StandinStore,
+    configuration_of,
+    entry_of,
+    search_route,
+    single_route,
+)
+
+
+@pytest.fixture
+async def store():
+    async with StandinStore() as started:
+        started.put(
+            "op/config",
+            configuration_of(
+                [search_route(["a", "b"]), single_route("c", type="unsafe")],
+                ["a", "b", "c"],
+            ),
+        )
+        yield started
+
+
+@pytest.fixture
+async def source(store):
+    made = StoreSource(store.address)
+    yield made
+    await made.close()
+
+
+async def test_reads_the_configuration_and_all_pages_of_registrations(store, source):
+    store.page = 2
+    for number in range(5):
+        store.put(f"servers/u-{number}", entry_of("a", f"127.0.0.1:{9000 + number}"))
+    delta = await source.read_all()
+    assert delta.is_whole
+    assert delta.revision == store.revision
+    assert [one.registration.upstream for one in delta.registered] == [
+        f"u-{number}" for number in range(5)
+    ]
+    search, single = delta.tables.routes
+    assert (search.is_idempotent, single.is_idempotent) == (True, False)
+    assert search.shards.services == ("a", "b")
+    assert search.latency_goal_ms == 132.5
+    assert single.services[0].service == "c"
+    assert delta.tables.limits.idle_timeout_ms == 15_000
+
+
+async def test_a_watch_gives_what_changed_and_what_went(store, source):
+    store.put("servers/u-1", entry_of("a", "127.0.0.1:9001"))
+    before = store.revision
+    store.put("servers/u-2", entry_of("a", "127.0.0.1:9002", state="draining"))
+    store.remove("servers/u-1")
+    store.put("some/other-key", {"not": "ours"})
+    delta = await source.watch(before, 1_000)
+    assert [one.registration.draining for one in delta.registered] == [True]
+    assert [one.upstream for one in delta.departed] == ["u-1"]
+    assert (delta.base, delta.revision) == (before, store.revision)
+
+
+async def test_a_quiet_watch_ends_empty(store, source):
+    delta = await source.watch(store.revision, 20)
+    assert delta.registered == delta.departed == ()
+    assert delta.tables is None
+
+
+@pytest.mark.parametrize(
+    "entry",
+    [
+        b"\xff\xfe not text",
+        b"[]",
+        {"service": "a"},
+        entry_of("a", "127.0.0.1:9001", slots="two"),
+        entry_of("a", "127.0.0.1:9001", state="asleep"),
+        entry_of("a", "nowhere"),
+        entry_of("a", "127.0.0.1:9001", **{"cold-left-ms": None}),
+        entry_of(None, "127.0.0.1:9001"),
+    ],
+)
+async def test_a_malformed_registration_harms_no_other(store, source, entry):
+    store.put("servers/bad", entry)
+    store.put("servers/good", entry_of("a", "127.0.0.1:9002"))
+    delta = await source.read_all()
+    assert [one.registration.upstream for one in delta.registered] == ["good"]
+    assert source.counts["malformed_registrations"] == 1
+
+
+async def test_bytes_that_are_no_base64_harm_no_other(store, source):
+    store.put_text("servers/bad", "***")
+    store.put("servers/good", entry_of("a", "127.0.0.1:9002"))
+    delta = await source.read_all()
+    assert [one.registration.upstream for one in delta.registered] == ["good"]
+
+
+async def test_a_malformed_configuration_leaves_the_last_one(store, source):
+    before = store.revision
+    store.put("op/config", {"version": "seven"})
+    delta = await source.watch(before, 100)
+    assert delta.tables is None
+    assert source.counts["malformed_configurations"] == 1
+
+
+async def test_a_lost_history_is_told_apart(store, source):
+    before = store.revision
+    store.put("servers/u-1", entry_of("a", "127.0.0.1:9001"))
+    store.compact()
+    with pytest.raises(HistoryLostError):
+        await source.watch(before, 100)
+
+
+@pytest.mark.parametrize("refusal", [429, 503, "reset"])
+async def test_a_refusal_is_an_error_and_counted(store, source, refusal):
+    store.refusal = refusal
+    with pytest.raises(StoreError):
+        await source.watch(1, 100)
+    assert source.counts["failed_calls"] == 1
+
+
+async def test_a_silent_connection_is_given_up(store, source, monkeypatch):
+    monkeypatch.setattr("burdockmill.platform.store_source.READ_TIMEOUT_MS", 50)
+    store.refusal = "silent"
+    with pytest.raises(StoreError):
+        await source.watch(1, 50)
+    store.refusal = None
+    assert (await source.read_all()).tables.version == 7
+
+
+async def test_an_answer_that_is_no_json_is_an_error(store, source):
+    store.put("servers/u-1", entry_of("a", "127.0.0.1:9001"))
+    store.items["servers/u-1"]["rev"] = "not a number"
+    with pytest.raises(StoreError):
+        await source.read_all()
