Listen for clients before the program is loaded

Cause: after a final fault every host loads for some 0.4 s while clients are refused everywhere; a refused client retries once, at once, and has nowhere to go. Weighed: a single killed host now lets clients wait where they would have gone on.

--- a/burdockmill/forwarding_node.py
+++ b/burdockmill/forwarding_node.py
@@ -52,6 +52,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine, Iterable, Mapping
+    from socket import socket
 
     from aiohttp import web
 
@@ -70,6 +71,9 @@
 # Decisions are written to the log together this often.
 FLUSH_MS = 100.0
 DEFAULT_CONNECTIONS = 16
+# Without a catalog by then, clients are told that this host is not ready.
+CATALOG_WAIT_MS = 1_000.0
+CATALOG_POLL_MS = 5.0
 
 
 class ForwardingNode(HostGateway):
@@ -83,6 +87,7 @@
         upstream_codec: UpstreamCodec,
         log_writer: LineWriter | None = None,
         clock: Clock | None = None,
+        ingress_socket: socket | None = None,
     ) -> None:
         self.settings = settings
         self.clock = clock or BootClock()
@@ -93,6 +98,7 @@
         )
         self.log_writer = log_writer
         self.source = source
+        self._ingress_socket = ingress_socket
         rng = random.Random()
         ring = Ring()
         self.engine = make_fleet_engine(settings.host, settings.domain, rng, ring)
@@ -155,7 +161,14 @@
         own = MemberRow(*place, incarnation=started_ms)
         self.post(HostStarted(own, self._seed_rows(settings.seeds)))
         self._start_task(self._reader.run())
-        await self._open("ingress", self.ingress.handle, settings.ingress_address)
+        # Clients that connect meanwhile wait in the kernel and are not refused.
+        await self._wait_for_catalog()
+        await self._open(
+            "ingress",
+            self.ingress.handle,
+            settings.ingress_address,
+            self._ingress_socket,
+        )
         ready = ready_app(lambda: self.ready)
         await self._open("ready", ready, settings.ready_address)
         logger.info(
@@ -304,6 +317,11 @@
             self.budget.keep({one.name for one in catalog.tables.services})
             self.client.resize(registered)
 
+    async def _wait_for_catalog(self) -> None:
+        end_ms = self.clock.now_ms() + CATALOG_WAIT_MS
+        while not self.ready and self.clock.now_ms() < end_ms:
+            await asyncio.sleep(CATALOG_POLL_MS / MILLISECONDS_PER_SECOND)
+
     def _seed_rows(self, seeds: Iterable[Address]) -> tuple[MemberRow, ...]:
         """Return rows that stand for seeds until they tell their domain."""
         return tuple(
@@ -334,13 +352,14 @@
         surface: str,
         app: web.Application | Callable,
         address: Address,
+        listening: socket | None = None,
     ) -> None:
         bounds = ServerBounds(
             self.settings.connections_limit, partial(self.count_refusal, surface)
         )
         listener = Listener(app, bounds)
         self.listener_by_surface[surface] = listener
-        await listener.open(address)
+        await listener.open(address, listening)
 
 
 def _report_end(task: asyncio.Task[None]) -> None:
--- a/burdockmill/platform/__main__.py
+++ b/burdockmill/platform/__main__.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from burdockmill.platform.daemon import main
+from burdockmill.platform.early_listen import listen_early
 
 if __name__ == "__main__":
-    main()
+    ingress_socket = listen_early()
+
+    from burdockmill.platform.daemon import main
+
+    main(ingress_socket)
--- a/burdockmill/platform/daemon.py
+++ b/burdockmill/platform/daemon.py
@@ -20,20 +20,31 @@
 from burdockmill.service import run_service
 
 if TYPE_CHECKING:
+    from socket import socket
+
     from burdockmill.forwarding.settings import ForwardingSettings
 
 EXIT_BAD_SETTINGS = 2
 
 
-def main() -> None:
-    """Serve with the settings file that the environment names, until SIGTERM."""
+def main(ingress_socket: socket | None = None) -> None:
+    """Serve with the settings file that the environment names, until SIGTERM.
+
+    `ingress_socket` already listens for clients.
+    """
     settings = _read_settings()
     writer = LineWriter(sys.stdout)
     set_up_logs("json", settings.log_level, writer)
-    run_service(lambda: make_node(settings, writer), settings.stop_grace_ms)
+    run_service(
+        lambda: make_node(settings, writer, ingress_socket), settings.stop_grace_ms
+    )
 
 
-def make_node(settings: ForwardingSettings, writer: LineWriter) -> ForwardingNode:
+def make_node(
+    settings: ForwardingSettings,
+    writer: LineWriter,
+    ingress_socket: socket | None = None,
+) -> ForwardingNode:
     """Return a host that speaks with the platform."""
 
     def body_limit() -> int:
@@ -45,6 +56,7 @@
         PlatformIngressCodec(settings.client_path_ms, body_limit),
         PlatformUpstreamCodec(),
         writer,
+        ingress_socket=ingress_socket,
     )
     return node
 
--- /dev/null
+++ b/burdockmill/platform/early_listen.py
@@ -0,0 +1,49 @@
+"""Listen for clients before the rest of the program is loaded.
+
+Loading takes some hundred milliseconds. When many hosts start at once, a client that
+is refused has nowhere else to go; one that waits is answered once the host is ready.
+This module imports nothing that takes long.
+"""
+
+from __future__ import annotations
+
+import os
+import socket
+
+from burdockmill.platform.wire_names import SETTINGS_VARIABLE
+
+INGRESS_LINE = "listen.front="
+# Connections of a second at full rate; more would only wait past their deadlines.
+BACKLOG = 1_024
+
+
+def listen_early() -> socket.socket | None:
+    """Return a listening socket for clients, or None where that must wait.
+
+    Whatever is wrong is reported later, when the settings are checked.
+    """
+    address = _ingress_address()
+    if address is None:
+        return None
+    host, _, port = address.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, int(port)))
+        sock.listen(BACKLOG)
+    except (OSError, ValueError):
+        sock.close()
+        return None
+    sock.setblocking(False)
+    return sock
+
+
+def _ingress_address() -> str | None:
+    try:
+        with open(os.environ[SETTINGS_VARIABLE], encoding="utf-8") as lines:
+            for line in lines:
+                if line.startswith(INGRESS_LINE):
+                    return line.removeprefix(INGRESS_LINE).strip()
+    except (KeyError, OSError, UnicodeDecodeError):
+        return None
+    return None
--- a/burdockmill/surfaces/listener.py
+++ b/burdockmill/surfaces/listener.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
+    from socket import socket
 
     from burdockmill.names import Address
     from burdockmill.surfaces._bounded_server import ServerBounds
@@ -17,6 +18,10 @@
     RequestHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
+# Connections that may wait to be taken while the host is busy.
+BACKLOG = 1_024
+
+
 class Listener:
     """Listen with an application, or a handler of every request, on an address."""
 
@@ -28,7 +33,7 @@
             self._runner = BoundedRunner(app, bounds)
         else:
             self._runner = BoundedHandlerRunner(app, bounds)
-        self._site: web.TCPSite | None = None
+        self._site: web.BaseSite | None = None
 
     @property
     def connections_open(self) -> int:
@@ -36,11 +41,19 @@
         server = self._runner.server
         return 0 if server is None else len(server.connections)
 
-    async def open(self, address: Address) -> Address:
-        """Listen and return the address with its true port; raise OSError."""
+    async def open(self, address: Address, listening: socket | None = None) -> Address:
+        """Listen and return the address with its true port; raise OSError.
+
+        A socket that is listening already is used in place of the address.
+        """
         await self._runner.setup()
-        host, _, port = address.rpartition(":")
-        self._site = web.TCPSite(self._runner, host.strip("[]"), int(port))
+        if listening is not None:
+            self._site = web.SockSite(self._runner, listening, backlog=BACKLOG)
+        else:
+            host, _, port = address.rpartition(":")
+            self._site = web.TCPSite(
+                self._runner, host.strip("[]"), int(port), backlog=BACKLOG
+            )
         await self._site.start()
         bound = self._runner.addresses[-1]
         shown = f"[{bound[0]}]" if ":" in bound[0] else bound[0]
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -1,6 +1,9 @@
 """Check how the platform's settings file becomes checked settings."""
 
 import re
+import socket
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -8,7 +11,9 @@
 from returns.result import Failure, Success
 
 from burdockmill.platform import daemon
+from burdockmill.platform.early_listen import listen_early
 from burdockmill.platform.settings_file import parse_platform_settings
+from tests.builders_forwarding_node import free_address
 from tests.builders_platform import SETTINGS
 
 ROOT = Path(__file__).parent.parent
@@ -112,3 +117,35 @@
 
     text = (ROOT / "deploy" / "system.toml").read_text()
     assert f'metrics = "{OPERATOR_PORT}/metrics"' in text
+
+
+def test_clients_are_listened_to_before_the_program_is_loaded(tmp_path, monkeypatch):
+    path = tmp_path / "boot.conf"
+    address = free_address()
+    path.write_text(SETTINGS.replace("127.0.0.1:8226", address))
+    monkeypatch.setenv("BURDOCKMILL_CONFIG", str(path))
+    with listen_early() as listening:
+        host, port = address.split(":")
+        with socket.create_connection((host, int(port)), timeout=1.0):
+            assert listening.getsockname() == (host, int(port))
+
+
+@pytest.mark.parametrize("text", ["", "listen.front=nowhere", "listen.front=1.2.3:x"])
+def test_what_cannot_be_listened_to_early_is_left_for_later(
+    tmp_path, monkeypatch, text
+):
+    path = tmp_path / "boot.conf"
+    path.write_text(text)
+    monkeypatch.setenv("BURDOCKMILL_CONFIG", str(path))
+    assert listen_early() is None
+
+
+def test_listening_early_loads_little():
+    code = (
+        "import sys, burdockmill.platform.early_listen;"
+        "print(any(name in sys.modules for name in ('aiohttp', 'asyncio', 'msgspec')))"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    assert done.stdout.strip() == "False"
