--- a/burdockmill/clients/_upstream_pool.py
+++ b/burdockmill/clients/_upstream_pool.py
@@ -8,7 +8,10 @@
 
 from aiohttp import ClientError
 
-from burdockmill.clients._recent_first_connector import RecentFirstConnector
+from burdockmill.clients._recent_first_connector import (
+    NO_TIMEOUT,
+    RecentFirstConnector,
+)
 from burdockmill.clients.write_once_session import WriteOnceSession
 
 if TYPE_CHECKING:
@@ -53,6 +56,17 @@
         except (TimeoutError, ClientError, OSError):
             self._counts["warm_up_failed"] += 1
 
+    async def open_one(self) -> None:
+        """Open a connection and keep it, unless the upstream cannot be reached."""
+        self.connector.keeps_idle = True
+        try:
+            async with asyncio.timeout(WARM_UP_TIMEOUT_S):
+                (
+                    await self.connector.connect(self._session.route, [], NO_TIMEOUT)
+                ).release()
+        except (TimeoutError, ClientError, OSError):
+            self._counts["warm_up_failed"] += 1
+
     def resize(self, limit: int) -> None:
         """Change the limit; connections above it close once idle."""
         self.connector.resize(limit)
--- /dev/null
+++ b/burdockmill/clients/connection_warmer.py
@@ -0,0 +1,38 @@
+"""Keep connections open to the upstreams that searches will need."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from burdockmill.clients.forwarding_client import ForwardingClient
+    from burdockmill.forwarding.messages import Registration
+
+# Connections are opened one after the other, so that upstreams and the host's own
+# processor have time for requests.
+PACE_S = 0.01
+ROUND_S = 1.0
+
+
+class ConnectionWarmer:
+    """Open a connection to each target that has none."""
+
+    def __init__(
+        self,
+        client: ForwardingClient,
+        targets: Callable[[], Iterable[Registration]],
+    ) -> None:
+        self._client = client
+        self._targets = targets
+
+    async def run(self) -> None:
+        """Look again and again until cancelled."""
+        while True:
+            for target in list(self._targets()):
+                if self._client.is_cold(target):
+                    self._client.warm_up(target)
+                    await asyncio.sleep(PACE_S)
+            await asyncio.sleep(ROUND_S)
--- a/burdockmill/clients/forwarding_client.py
+++ b/burdockmill/clients/forwarding_client.py
@@ -59,7 +59,7 @@
         self._clock = clock
         self._limit_of = limit_of
         self._pool_by_upstream: dict[UpstreamId, UpstreamPool] = {}
-        self._closing: set[asyncio.Task[None]] = set()
+        self._side_tasks: set[asyncio.Task[None]] = set()
         self._open: set[Sending] = set()
 
     def send(
@@ -81,14 +81,26 @@
         sending.task.add_done_callback(finish)
         return sending
 
+    def is_cold(self, upstream: Registration) -> bool:
+        """Tell whether no connection to an upstream is open or being opened."""
+        pool = self._pool_by_upstream.get(upstream.upstream)
+        return pool is None or not pool.connector.open
+
+    def warm_up(self, upstream: Registration) -> None:
+        """Open one connection to an upstream, soon."""
+        pool = self._pool_for(upstream)
+        opening = asyncio.get_running_loop().create_task(pool.open_one())
+        self._side_tasks.add(opening)
+        opening.add_done_callback(self._side_tasks.discard)
+
     def retire(self, upstreams: Iterable[UpstreamId]) -> None:
         """Close the pools of upstreams that left, once their attempts have ended."""
         for upstream in upstreams:
             pool = self._pool_by_upstream.pop(upstream, None)
             if pool is not None:
                 closing = asyncio.get_running_loop().create_task(pool.close())
-                self._closing.add(closing)
-                closing.add_done_callback(self._closing.discard)
+                self._side_tasks.add(closing)
+                closing.add_done_callback(self._side_tasks.discard)
 
     def resize(self, registrations: Mapping[UpstreamId, Registration]) -> None:
         """Follow changed limits."""
@@ -102,7 +114,7 @@
         for sending in list(self._open):
             sending.cancel()
         self.retire(list(self._pool_by_upstream))
-        await asyncio.gather(*self._closing, return_exceptions=True)
+        await asyncio.gather(*self._side_tasks, return_exceptions=True)
 
     async def _run(self, request: ForwardedRequest, sending: Sending) -> AttemptOutcome:
         action = sending.action
--- a/burdockmill/forwarding/planner.py
+++ b/burdockmill/forwarding/planner.py
@@ -86,6 +86,10 @@
         """Pay for a repeat; tell whether the budget allows it."""
         return self.budget.spend(service, kind, now_ms)
 
+    def rank_for_search(self, service: ServiceId, now_ms: float) -> list[Candidate]:
+        """Return a shard's upstreams as a search would choose them, best first."""
+        return self._rank(service, (), True, now_ms)
+
     def _rank(
         self,
         service: ServiceId,
--- a/burdockmill/forwarding_node.py
+++ b/burdockmill/forwarding_node.py
@@ -15,6 +15,7 @@
 from burdockmill._forwarding_stop import ForwardingStop
 from burdockmill._line_writer import LineWriter
 from burdockmill.clients.catalog_reader import CatalogReader
+from burdockmill.clients.connection_warmer import ConnectionWarmer
 from burdockmill.clients.forwarding_client import ForwardingClient
 from burdockmill.clients.peer_client import PeerClient, messages_of
 from burdockmill.clock import BootClock
@@ -41,6 +42,7 @@
 from burdockmill.policies.connection_share import connection_share
 from burdockmill.policies.repeat_budget import RepeatBudget, RepeatLimits
 from burdockmill.policies.replica_choice import ExpectedLatencyChoice
+from burdockmill.policies.warm_targets import warm_targets
 from burdockmill.surfaces._bounded_server import ServerBounds
 from burdockmill.surfaces.host_gateway import HostGateway
 from burdockmill.surfaces.ingress import Ingress, ready_app
@@ -161,6 +163,8 @@
         own = MemberRow(*place, incarnation=started_ms)
         self.post(HostStarted(own, self._seed_rows(settings.seeds)))
         self._start_task(self._reader.run())
+        warmer = ConnectionWarmer(self.client, self._warm_targets)
+        self._start_task(warmer.run())
         # Clients that connect meanwhile wait in the kernel and are not refused.
         await self._wait_for_catalog()
         await self._open(
@@ -266,6 +270,16 @@
     def _replicas_of(self, service: ServiceId) -> Iterable[Registration]:
         return self.engine.world.catalog.upstreams_by_service.get(service, {}).values()
 
+    def _warm_targets(self) -> Iterable[Registration]:
+        tables = self.engine.world.catalog.tables
+        if tables is None or self.stopping:
+            return ()
+        planner = self.forwarder.planner
+        now_ms = self.clock.now_ms()
+        return warm_targets(
+            tables.routes, lambda service: planner.rank_for_search(service, now_ms)
+        )
+
     def _connections(self, registration: Registration) -> int:
         bounds = self.engine.world.catalog.bounds_by_service.get(registration.service)
         limit = bounds.connections_limit if bounds else DEFAULT_CONNECTIONS
--- a/tests/test_forwarding_node.py
+++ b/tests/test_forwarding_node.py
@@ -48,6 +48,13 @@
     assert request["left_ms"] <= 1_000
 
 
+async def test_connections_to_shards_are_open_before_the_first_search(site):
+    upstreams = [site.upstream_by_service[name] for name in ("a", "b")]
+    await until(lambda: all(one.connections for one in upstreams), "connections open")
+    await site.client().ask("/overlap/2f")
+    assert [one.connections for one in upstreams] == [1, 1]
+
+
 async def test_a_chunked_body_arrives_whole(site):
     client = site.client()
     await client.send("/once/x", method="POST", **{"Transfer-Encoding": "chunked"})
--- a/tests/test_forwarding_policies.py
+++ b/tests/test_forwarding_policies.py
@@ -13,6 +13,7 @@
 from burdockmill.policies.hedge_timing import hedge_delay_ms
 from burdockmill.policies.repeat_budget import RepeatBudget
 from burdockmill.policies.return_time import return_after_ms
+from burdockmill.policies.warm_targets import warm_targets
 from burdockmill.tables.latency_histogram import LatencyHistogram
 from tests.builders_forwarding import (
     DOMAINS,
@@ -226,5 +227,20 @@
     assert seen.faded(10_100.0) < 0.1
 
 
+def test_connections_are_kept_to_the_first_and_the_hedge_of_each_shard():
+    planner = make_planner()
+    routes = (make_route(shards=2), make_single_route())
+    kept = list(
+        warm_targets(routes, lambda service: planner.rank_for_search(service, 0.0))
+    )
+    assert len(kept) == 4
+    assert [one.domain for one in kept][0::2] == ["waw-a", "waw-a"]
+    seen = planner.observations.of("shard-0@waw-a")
+    seen.started(1, 0.0)
+    seen.ended(1, AttemptEnd.NOT_SENT, 5.0)
+    again = warm_targets(routes, lambda service: planner.rank_for_search(service, 9.0))
+    assert "shard-0@waw-a" not in [one.upstream for one in again]
+
+
 def test_domains_are_those_of_the_replay():
     assert set(PATH_MS) == set(DOMAINS)
