--- a/burdockmill/cli/explain.py
+++ b/burdockmill/cli/explain.py
@@ -8,6 +8,7 @@
 import typer
 
 from burdockmill.cli._http import OK, Request, ask
+from burdockmill.cli._log_lines import logged_lines, read_log
 from burdockmill.cli._output import EXIT_WRONG, fail, write_json, write_line
 
 if TYPE_CHECKING:
@@ -22,10 +23,18 @@
     request_id: Annotated[str, typer.Argument(help="The id that the answer names.")],
     host: Annotated[
         str, typer.Option(help="Operators' address of the host that answered.")
-    ],
+    ] = "",
+    log: Annotated[
+        str, typer.Option(help="A file of JSON log lines, or - for standard input.")
+    ] = "",
     as_json: Annotated[bool, typer.Option("--json", help="Write JSON.")] = False,
 ) -> None:
-    """Show each decision made for a request, by the entry and the owners it used."""
+    """Show each decision made for a request, asked of a host or read from its log."""
+    if bool(host) == bool(log):
+        fail("give either --host IP:PORT or --log FILE")
+    if log:
+        _explain_from_log(request_id, log)
+        return
     path = f"/v1/explain/{quote(request_id, safe='')}"
     reply = ask(Request(host, path))
     if reply.status != OK:
@@ -44,6 +53,14 @@
         )
 
 
+def _explain_from_log(request_id: str, log: str) -> None:
+    lines = logged_lines(request_id, read_log(log))
+    for line in lines:
+        write_line(line)
+    if not lines:
+        fail(f"{log} holds no decision for {request_id}", status=EXIT_WRONG)
+
+
 def timeline(explanation: Explanation) -> list[str]:
     """Return a line a decision, with milliseconds since the first."""
     lines = lines_of(explanation["decisions"], first_age_ms(explanation))
--- a/burdockmill/forwarding/request_log.py
+++ b/burdockmill/forwarding/request_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from burdockmill.errors import BurdockmillError
@@ -19,7 +20,19 @@
     from burdockmill.metrics import Metrics
     from burdockmill.world import World
 
-SEARCH, FORWARD = "search", "forward"
+ANSWER, ATTEMPT, HEDGE, PROBE, RETRY = "answer", "attempt", "hedge", "probe", "retry"
+PART_BY_KIND = {
+    AttemptKind.HEDGE: HEDGE,
+    AttemptKind.PROBE: PROBE,
+    AttemptKind.RETRY: RETRY,
+}
+
+
+class RequestKind(StrEnum):
+    """Name the kinds of forwarded requests in metrics."""
+
+    SEARCH = "search"
+    FORWARD = "forward"
 
 
 class RequestLog:
@@ -54,7 +67,7 @@
             "others": _attempts(part.attempts[:-1], run),
         }
         choice = f"sent to {upstream}"
-        self._write(action.kind.value, run, choice, "", inputs, now_ms)
+        self._write(PART_BY_KIND[action.kind], run, choice, "", inputs, now_ms)
 
     def ended(
         self,
@@ -74,14 +87,14 @@
             "since_received_ms": _since(run, now_ms),
         }
         choice = f"{outcome.end.value} at {action.upstream.upstream}"
-        self._write("attempt", run, choice, outcome.detail, inputs, now_ms)
+        self._write(ATTEMPT, run, choice, outcome.detail, inputs, now_ms)
 
     def concluded(self, run: RequestRun, action: Conclude, now_ms: float) -> None:
         """Log an answer with all attempts that led to it."""
         result = action.result
         outcome, choice = _outcome_of(run, result)
         took_ms = now_ms - run.request.received_ms
-        kind = FORWARD if run.route.shards is None else SEARCH
+        kind = _kind_of(run)
         self._metrics.observe(kind, outcome, took_ms)
         catalog = self._world.catalog
         confirmed_age_ms = now_ms - self._world.fleet.confirmed_ms
@@ -99,16 +112,16 @@
                 for attempt in _attempts(part.attempts, run)
             ],
         }
-        self._write("answer", run, choice, action.note, inputs, now_ms)
+        self._write(ANSWER, run, choice, action.note, inputs, now_ms)
 
     def left(self, run: RequestRun, now_ms: float) -> None:
         """Log that a client left before its answer."""
         took_ms = now_ms - run.request.received_ms
-        kind = FORWARD if run.route.shards is None else SEARCH
+        kind = _kind_of(run)
         self._metrics.observe(kind, "client_left", took_ms)
         inputs = {"took_ms": round(took_ms, 1), "route": run.route.name}
         choice = "stopped all attempts"
-        self._write("answer", run, choice, "the client left", inputs, now_ms)
+        self._write(ANSWER, run, choice, "the client left", inputs, now_ms)
 
     def _write(
         self,
@@ -125,6 +138,10 @@
         self._flush_soon()
 
 
+def _kind_of(run: RequestRun) -> RequestKind:
+    return RequestKind.FORWARD if run.route.shards is None else RequestKind.SEARCH
+
+
 def _outcome_of(run: RequestRun, result: object) -> tuple[str, str]:
     match result:
         case BurdockmillError():
--- a/burdockmill/platform/__main__.py
+++ b/burdockmill/platform/__main__.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import gc
+
 from burdockmill.platform.early_listen import listen_early
 
 if __name__ == "__main__":
     ingress_socket = listen_early()
+    # What is loaded stays, so collecting it while loading only takes time.
+    gc.disable()
 
     from burdockmill.platform.daemon import main
 
+    gc.freeze()
+    gc.enable()
     main(ingress_socket)
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -12,7 +12,7 @@
 
 ROOT = Path(__file__).parent.parent
 OPERATIONS = (ROOT / "docs" / "OPERATIONS.md").read_text()
-DECISION = re.compile(r'LogDecision\(\s*"([a-z]+)"')
+DECISION = re.compile(r'(?:LogDecision\(\s*|Decision\(\s*at_ms,\s*)"([a-z]+)"')
 LINE = re.compile(r'logger\.[a-z]+\(\s*f?"([a-z]+):')
 NAMED = re.compile(r'^[A-Z, ]+ = ((?:"[a-z]+"(?:, )?)+)$', re.MULTILINE)
 
