--- a/burdockmill/forwarding/messages.py
+++ b/burdockmill/forwarding/messages.py
@@ -45,6 +45,13 @@
     started_ms: int
 
 
+class RequestKind(StrEnum):
+    """Name the kinds of forwarded requests in metrics."""
+
+    SEARCH = "search"
+    FORWARD = "forward"
+
+
 class AttemptKind(StrEnum):
     """State why an attempt was sent."""
 
--- a/burdockmill/forwarding/request_log.py
+++ b/burdockmill/forwarding/request_log.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
-from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from burdockmill.errors import BurdockmillError
-from burdockmill.forwarding.messages import AttemptEnd, AttemptKind, MergedAnswer
+from burdockmill.forwarding.messages import (
+    AttemptEnd,
+    AttemptKind,
+    MergedAnswer,
+    RequestKind,
+)
 from burdockmill.messages.actions import LogDecision
 
 if TYPE_CHECKING:
@@ -28,13 +32,6 @@
 }
 
 
-class RequestKind(StrEnum):
-    """Name the kinds of forwarded requests in metrics."""
-
-    SEARCH = "search"
-    FORWARD = "forward"
-
-
 class RequestLog:
     """Write a line a decision, and count each answer by its outcome."""
 
