--- a/burdockmill/clients/catalog_reader.py
+++ b/burdockmill/clients/catalog_reader.py
@@ -99,7 +99,10 @@
                 self._must_read_all = True
                 return 0.0
         self._note_success()
-        is_news = bool(delta.registered or delta.departed or delta.tables)
+        # A whole copy is news even when empty: what follows it leaves no gap.
+        is_news = bool(
+            delta.is_whole or delta.registered or delta.departed or delta.tables
+        )
         confirmed_ms = asked_ms if delta.is_whole else self._clock.now_ms()
         self._watched = max(self._watched, delta.revision)
         if is_news:
--- a/burdockmill/policies/hedge_timing.py
+++ b/burdockmill/policies/hedge_timing.py
@@ -1,8 +1,9 @@
 """Say how long an attempt may be silent before a second one is sent beside it.
 
 Load pattern: an upstream pauses for longer than a search may take, and the next
-replica is a region away; at times a fifth of the upstreams is slow. The hedge goes out once most attempts would have answered,
-and no later than it can still arrive within the latency goal.
+replica is a region away; at times a fifth of the upstreams is slow. The hedge goes
+out once most attempts would have answered, and no later than it can still arrive
+within the latency goal.
 """
 
 from __future__ import annotations
--- a/tests/builders_forwarding_node.py
+++ b/tests/builders_forwarding_node.py
@@ -90,7 +90,8 @@
 class Site:
     """Run a store, upstreams of three services, and some hosts."""
 
-    def __init__(self, hosts=1, shards=("a", "b"), single="c"):
+    def __init__(self, hosts=1, shards=("a", "b"), single="c", is_empty=False):
+        self.is_empty = is_empty
         self.shards = shards
         self.single = single
         self.store = StandinStore()
@@ -106,8 +107,10 @@
             upstream = StandinUpstream(f"u-{service}", service.encode() * 16)
             await self._stack.enter_async_context(upstream)
             self.upstream_by_service[service] = upstream
-            self.register(service)
-        self.publish()
+            if not self.is_empty:
+                self.register(service)
+        if not self.is_empty:
+            self.publish()
         for address in self._addresses:
             await self.start(address)
         return self
--- a/tests/test_forwarding_node.py
+++ b/tests/test_forwarding_node.py
@@ -175,6 +175,18 @@
         )
 
 
+async def test_a_host_that_starts_before_the_first_configuration_misses_nothing():
+    async with Site(is_empty=True) as site:
+        catalog = site.nodes[0].engine.world.catalog
+        for service in ("a", "b", "c"):
+            site.register(service)
+        site.publish()
+        await site.ready()
+        await until(
+            lambda: catalog.revision == site.store.revision, "no gap is left", 2.0
+        )
+
+
 async def test_one_host_of_a_domain_reads_the_store():
     async with Site(hosts=3) as site:
         await site.ready()
