Read changed settings while a host runs, and report a stop that fails

Cause: SIGHUP ended the process, and a changed file was not noticed; what a stop raised was dropped by the entrypoint. Test: the daemon takes a hangup, logs what changed, and stops with status 0.

--- a/burdockmill/forwarding_node.py
+++ b/burdockmill/forwarding_node.py
@@ -37,6 +37,7 @@
     HostStopping,
     PeerReceived,
     PeerUnreachable,
+    SeedsRead,
 )
 from burdockmill.metrics import Metrics
 from burdockmill.policies.connection_share import connection_share
@@ -68,6 +69,7 @@
     from burdockmill.messages.events import Event
     from burdockmill.messages.peer import PeerBatch
     from burdockmill.names import Address, HostId, RequestId, ServiceId
+    from burdockmill.settings_watch import SettingsWatch
 
 MILLISECONDS_PER_SECOND = 1_000
 # Decisions are written to the log together this often.
@@ -131,6 +133,7 @@
         self.listener_by_surface: dict[str, Listener] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._flush_timer: asyncio.TimerHandle | None = None
+        self._settings_watch: SettingsWatch | None = None
 
     @property
     def host_settings(self) -> ForwardingSettings:
@@ -163,6 +166,8 @@
         own = MemberRow(*place, incarnation=started_ms)
         self.post(HostStarted(own, self._seed_rows(settings.seeds)))
         self._start_task(self._reader.run())
+        if self._settings_watch is not None:
+            self._start_task(self._settings_watch.run())
         warmer = ConnectionWarmer(self.client, self._warm_targets)
         self._start_task(warmer.run())
         # Clients that connect meanwhile wait in the kernel and are not refused.
@@ -202,6 +207,16 @@
         if self.log_writer is not None:
             self.log_writer.close()
 
+    def watch_settings(self, watch: SettingsWatch) -> None:
+        """Check the settings from time to time while this host runs."""
+        self._settings_watch = watch
+
+    def apply(self, settings: ForwardingSettings) -> None:
+        """Follow changed settings; changed addresses wait for the next start."""
+        self.settings = settings
+        self.budget.limits = _repeat_limits(settings)
+        self.post(SeedsRead(self._seed_rows(settings.seeds)))
+
     def post(self, event: Event) -> None:
         """Queue an event for the core's next tick."""
         self._pump.post(event)
@@ -248,10 +263,7 @@
             self.observations,
             world.catalog.leaves_ms_by_upstream,
         )
-        limits = RepeatLimits(
-            settings.repeat_ratio, settings.repeat_allowance, settings.repeat_window_ms
-        )
-        self.budget = RepeatBudget(limits)
+        self.budget = RepeatBudget(_repeat_limits(settings))
         planner = Planner(self._replicas_of, choice, self.budget, self.observations)
         log = RequestLog(world, planner, self.decisions, self.metrics, self._flush_soon)
         merge = GreatestRecords()
@@ -374,6 +386,12 @@
         await listener.open(address, listening)
 
 
+def _repeat_limits(settings: ForwardingSettings) -> RepeatLimits:
+    return RepeatLimits(
+        settings.repeat_ratio, settings.repeat_allowance, settings.repeat_window_ms
+    )
+
+
 def _report_end(task: asyncio.Task[None]) -> None:
     if not task.cancelled() and task.exception() is not None:
         logger.opt(exception=task.exception()).error("node: a task failed.")
--- a/burdockmill/messages/events.py
+++ b/burdockmill/messages/events.py
@@ -145,6 +145,12 @@
     seeds: tuple[MemberRow, ...]
 
 
+class SeedsRead(NamedTuple):
+    """Report seeds that were not known at the start."""
+
+    seeds: tuple[MemberRow, ...]
+
+
 class ViewRefreshed(NamedTuple):
     """Report that a host that was paused has learnt, or waited long enough."""
 
@@ -240,6 +246,7 @@
     | RevisionRead
     | PeerDelivered
     | HostStarted
+    | SeedsRead
     | ViewRefreshed
     | Learned
     | DeltasReceived
--- a/burdockmill/platform/daemon.py
+++ b/burdockmill/platform/daemon.py
@@ -18,11 +18,15 @@
 from burdockmill.platform.upstream_codec import PlatformUpstreamCodec
 from burdockmill.platform.wire_names import SETTINGS_VARIABLE
 from burdockmill.service import run_service
+from burdockmill.settings_watch import SettingsWatch
 
 if TYPE_CHECKING:
     from socket import socket
 
+    from returns.result import Result
+
     from burdockmill.forwarding.settings import ForwardingSettings
+    from burdockmill.settings_fields import SettingProblem
 
 EXIT_BAD_SETTINGS = 2
 
@@ -32,12 +36,24 @@
 
     `ingress_socket` already listens for clients.
     """
-    settings = _read_settings()
+    path = _settings_path()
+    settings = _read_settings(path)
     writer = LineWriter(sys.stdout)
     set_up_logs("json", settings.log_level, writer)
-    run_service(
-        lambda: make_node(settings, writer, ingress_socket), settings.stop_grace_ms
-    )
+    node: ForwardingNode | None = None
+
+    def make() -> ForwardingNode:
+        nonlocal node
+        node = make_node(settings, writer, ingress_socket)
+        node.watch_settings(watch)
+        return node
+
+    def apply(changed: ForwardingSettings) -> None:
+        if node is not None:
+            node.apply(changed)
+
+    watch = SettingsWatch(settings, lambda: _parse(path), apply)
+    run_service(make, settings.stop_grace_ms, lambda _: watch.check())
 
 
 def make_node(
@@ -61,15 +77,22 @@
     return node
 
 
-def _read_settings() -> ForwardingSettings:
+def _settings_path() -> Path:
     path = os.environ.get(SETTINGS_VARIABLE)
     if not path:
         _refuse(f"the variable {SETTINGS_VARIABLE} names no settings file; set it")
+    return Path(path)
+
+
+def _parse(path: Path) -> Result[ForwardingSettings, tuple[SettingProblem, ...]]:
+    return parse_platform_settings(path.read_text(encoding="utf-8"))
+
+
+def _read_settings(path: Path) -> ForwardingSettings:
     try:
-        text = Path(path).read_text(encoding="utf-8")
+        parsed = _parse(path)
     except (OSError, UnicodeDecodeError) as error:
         _refuse(f"cannot read {path}: {error}; check the file")
-    parsed = parse_platform_settings(text)
     if isinstance(parsed, Success):
         return parsed.unwrap()
     _refuse(*(f"{path}: {problem}" for problem in parsed.failure()))
--- a/burdockmill/service.py
+++ b/burdockmill/service.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol
 
 import aiomisc
+from loguru import logger
 
 if TYPE_CHECKING:
     from burdockmill.settings import Settings
@@ -29,10 +31,16 @@
     """Run a host until its process is told to stop."""
 
     make: Callable[[], Startable]
+    on_hangup: Callable[[Startable], None] | None = None
 
     async def start(self) -> None:
         """Start the host and serve until stopped."""
         self.host = self.make()
+        on_hangup = self.on_hangup
+        if on_hangup is not None:
+            asyncio.get_running_loop().add_signal_handler(
+                signal.SIGHUP, lambda: on_hangup(self.host)
+            )
         await self.host.start()
         self.start_event.set()
         # The service holds the event, else the waiting task could be collected.
@@ -41,12 +49,24 @@
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Finish what is under way, then close the host."""
-        await self.host.stop()
-
-
-def run_service(make: Callable[[], Startable], limit_ms: float) -> None:
-    """Run a host until SIGTERM or SIGINT; a stop may take `limit_ms` and a little."""
-    service = HostService(make=make)
+        try:
+            await self.host.stop()
+        except Exception:
+            # The entrypoint would drop what is raised while it shuts down.
+            logger.exception("stop: the host did not stop in order.")
+            raise
+
+
+def run_service(
+    make: Callable[[], Startable],
+    limit_ms: float,
+    on_hangup: Callable[[Startable], None] | None = None,
+) -> None:
+    """Run a host until SIGTERM or SIGINT; a stop may take `limit_ms` and a little.
+
+    `on_hangup` is called on SIGHUP, which ends the process where it is None.
+    """
+    service = HostService(make=make, on_hangup=on_hangup)
     with aiomisc.entrypoint(
         service,
         log_config=False,
--- a/burdockmill/systems/member_system.py
+++ b/burdockmill/systems/member_system.py
@@ -5,7 +5,13 @@
 from typing import TYPE_CHECKING
 
 from burdockmill.messages.actions import Action, LogDecision
-from burdockmill.messages.events import Event, HostListRead, HostStarted, HostStopping
+from burdockmill.messages.events import (
+    Event,
+    HostListRead,
+    HostStarted,
+    HostStopping,
+    SeedsRead,
+)
 from burdockmill.messages.fleet import LeavingList, MemberNews, MemberStatus, News
 from burdockmill.systems._intake import learn, take_leaving_list
 from burdockmill.systems._news import member_news, put_member, write_member
@@ -23,7 +29,7 @@
     """Keep the own row; direct evidence outweighs the lagging host list."""
 
     name = "member"
-    handles = (HostStarted, HostListRead, HostStopping)
+    handles = (HostStarted, SeedsRead, HostListRead, HostStopping)
 
     def run(self, world: World, now_ms: float) -> list[Action]:
         """Take in the start, each host list, and the stop."""
@@ -38,6 +44,8 @@
         match event:
             case HostStarted():
                 self._start(world, event, now_ms)
+            case SeedsRead():
+                self._add_seeds(world, event.seeds, now_ms)
             case HostListRead():
                 self._merge(world, event, now_ms, actions)
             case HostStopping():
@@ -47,10 +55,15 @@
         world.fleet.started = True
         world.fleet.started_ms = now_ms
         write_member(world, event.row, now_ms)
-        for seed in event.seeds:
+        self._add_seeds(world, event.seeds, now_ms)
+        learn(world, News(members=(member_news(event.row),)))
+
+    def _add_seeds(
+        self, world: World, seeds: tuple[MemberRow, ...], now_ms: float
+    ) -> None:
+        for seed in seeds:
             if seed.host != world.host:
                 put_member(world, member_news(seed), now_ms)
-        learn(world, News(members=(member_news(event.row),)))
 
     def _leave(self, world: World, now_ms: float, actions: list[Action]) -> None:
         row = world.member_by_host.get(world.host)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -33,7 +33,7 @@
         for host in hosts:
             host.signal(signal.SIGTERM)
             assert await host.wait() == 0, host.lines[-5:]
-            assert any("has stopped" in line for line in host.lines)
+            assert any("has stopped" in line for line in host.lines), host.lines[-8:]
             await traffic.until_more(5)
             await host.start()
             await until(lambda h=host: fleet.is_ready(h), f"{host.name} is back")
--- /dev/null
+++ b/tests/test_settings_watch.py
@@ -0,0 +1,110 @@
+"""Check that changed settings are taken in while a host runs."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+
+from loguru import logger
+
+from burdockmill.platform.settings_file import parse_platform_settings
+from burdockmill.settings_watch import SettingsWatch
+from tests.builders_forwarding_node import Site, free_address, until
+from tests.builders_platform import (
+    SETTINGS,
+    StandinStore,
+    configuration_of,
+    single_route,
+)
+
+
+class File:
+    def __init__(self):
+        self.text = SETTINGS
+        self.applied = []
+        self.watch = SettingsWatch(self.read().unwrap(), self.read, self.applied.append)
+
+    def read(self):
+        if self.text is None:
+            raise OSError("no such file")
+        return parse_platform_settings(self.text)
+
+
+def test_changed_settings_are_applied_once():
+    file = File()
+    file.watch.check()
+    assert file.applied == []
+    file.text = SETTINGS.replace("retry-extra=58", "retry-extra=20")
+    file.watch.check()
+    file.watch.check()
+    assert [one.repeat_allowance for one in file.applied] == [20.0]
+
+
+def test_wrong_or_missing_settings_are_reported_and_leave_the_last_ones():
+    lines = []
+    sink = logger.add(lines.append, format="{message}")
+    file = File()
+    file.text = SETTINGS.replace("zone=waw-a", "zone=")
+    file.watch.check()
+    file.watch.check()
+    file.text = None
+    file.watch.check()
+    logger.remove(sink)
+    assert file.applied == []
+    assert sum("setting domain" in line for line in lines) == 1
+    assert any("cannot be read" in line for line in lines)
+
+
+async def test_a_host_follows_its_bounds_and_seeds():
+    async with Site(hosts=2) as site:
+        await site.ready()
+        node = site.nodes[0]
+        seed = "127.0.0.9:4"
+        changed = node.settings._replace(repeat_allowance=9.0, seeds=(seed,))
+        node.apply(changed)
+        assert node.budget.limits.allowance == 9.0
+        members = node.engine.world.member_by_host
+        await until(lambda: seed in members, "the new seed is known")
+
+
+async def test_the_daemon_takes_a_hangup_and_a_stop(tmp_path):
+    async with StandinStore() as store:
+        store.put("op/config", configuration_of([single_route("c")], ["c"]))
+        ready = free_address()
+        text = SETTINGS.replace("127.0.0.1:8229", store.address)
+        text = text.replace("127.0.0.1:8227", ready)
+        for address in ("127.0.0.1:8224", "127.0.0.1:8226"):
+            text = text.replace(address, free_address())
+        path = tmp_path / "boot.conf"
+        path.write_text(text.replace("grace-s=6", "grace-s=1"))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "burdockmill.platform",
+            env={**os.environ, "BURDOCKMILL_CONFIG": str(path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        seen = []
+        try:
+            async with asyncio.timeout(20):
+                await read_until(process, seen, "serves clients")
+                path.write_text(path.read_text().replace("extra=58", "extra=20"))
+                process.send_signal(signal.SIGHUP)
+                await read_until(process, seen, "settings: changed repeat_allowance")
+                process.send_signal(signal.SIGTERM)
+                await read_until(process, seen, "has stopped")
+                assert await process.wait() == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+    assert all(json.loads(line)["message"] for line in seen)
+
+
+async def read_until(process, seen, text):
+    while True:
+        line = (await process.stdout.readline()).decode()
+        assert line, f"ended before: {text}"
+        seen.append(line)
+        if text in line:
+            return
