--- a/burdockmill/_forwarding_reports.py
+++ b/burdockmill/_forwarding_reports.py
@@ -50,7 +50,7 @@
             "configuration": catalog.tables.version if catalog.tables else 0,
             "catalog_revision": catalog.revision,
             "catalog_age_ms": round(now_ms - world.fleet.confirmed_ms),
-            "requests_open": len(node.forwarder.open_runs),
+            "requests_open": len(node.path.forwarder.open_runs),
             "members": members_of(world),
             "upstreams": [
                 {
@@ -59,7 +59,7 @@
                     "domain": one.domain,
                     "draining": one.draining,
                     "departing": one.upstream in catalog.leaves_ms_by_upstream,
-                    **node.observations.of(one.upstream).status(now_ms),
+                    **node.path.observations.of(one.upstream).status(now_ms),
                 }
                 for one in catalog.registration_by_upstream.values()
             ],
@@ -72,16 +72,16 @@
         world = node.engine.world
         metrics.set_events("node", node.counts)
         metrics.set_events("core", world.counter_by_name)
-        metrics.set_events("upstreams", node.client.counts)
+        metrics.set_events("upstreams", node.path.client.counts)
         metrics.set_events("peers", node.peers.counts)
         metrics.set_events("store", node.source.counts)
         metrics.set_events("decisions", node.decisions.counts)
-        metrics.set_events("forwarding", node.forwarder.counts)
+        metrics.set_events("forwarding", node.path.forwarder.counts)
         if node.log_writer is not None:
             left_out = {"lines_left_out_by_reader": node.log_writer.left_out}
             metrics.set_events("log", left_out)
         metrics.set_level(READY, node.ready)
-        metrics.set_level(REQUESTS_OPEN, len(node.forwarder.open_runs))
+        metrics.set_level(REQUESTS_OPEN, len(node.path.forwarder.open_runs))
         for surface, listener in node.listener_by_surface.items():
             opened = listener.connections_open
             metrics.set_level(CONNECTIONS_OPEN, opened, surface=surface)
--- /dev/null
+++ b/burdockmill/forwarding/data_path.py
@@ -0,0 +1,135 @@
+"""Put together what forwards requests on one host, and let it follow the catalog."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from burdockmill.clients.connection_warmer import ConnectionWarmer
+from burdockmill.clients.forwarding_client import ForwardingClient
+from burdockmill.forwarding.forwarder import Forwarder
+from burdockmill.forwarding.merge_policy import GreatestRecords
+from burdockmill.forwarding.observations import Observations
+from burdockmill.forwarding.planner import Planner
+from burdockmill.forwarding.request_log import RequestLog
+from burdockmill.forwarding.weighted_choice import WeightedChoices
+from burdockmill.policies.connection_share import connection_share
+from burdockmill.policies.repeat_budget import RepeatBudget, RepeatLimits
+from burdockmill.policies.replica_choice import ExpectedLatencyChoice
+from burdockmill.policies.warm_targets import warm_targets
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from burdockmill.clock import Clock
+    from burdockmill.decision_log import DecisionLog
+    from burdockmill.forwarding.codecs import UpstreamCodec
+    from burdockmill.forwarding.messages import Registration
+    from burdockmill.forwarding.settings import ForwardingSettings
+    from burdockmill.messages.events import CatalogChanged
+    from burdockmill.metrics import Metrics
+    from burdockmill.names import ServiceId
+    from burdockmill.world import World
+
+# For a service whose bounds the configuration does not state.
+DEFAULT_CONNECTIONS = 16
+
+
+class DataPath:
+    """Hold the forwarder, its client and its decisions."""
+
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        world: World,
+        clock: Clock,
+        codec: UpstreamCodec,
+        decisions: DecisionLog,
+        metrics: Metrics,
+        flush_soon: Callable[[], None],
+    ) -> None:
+        self._world = world
+        self._clock = clock
+        self.observations = Observations()
+        self.budget = RepeatBudget(repeat_limits(settings))
+        self.client = ForwardingClient(codec, clock, self._connections)
+        self.warmer = ConnectionWarmer(self.client, self._warm_targets)
+        self._choices = WeightedChoices(world.rng)
+        choice = ExpectedLatencyChoice(
+            settings.domain,
+            settings.region_by_domain,
+            self.observations,
+            world.catalog.leaves_ms_by_upstream,
+        )
+        self._planner = Planner(
+            self._replicas_of, choice, self.budget, self.observations
+        )
+        log = RequestLog(world, self._planner, decisions, metrics, flush_soon)
+        self.forwarder = Forwarder(
+            clock,
+            world.catalog,
+            self._planner,
+            self._choices,
+            GreatestRecords(),
+            self.client,
+            log,
+        )
+
+    def apply(self, settings: ForwardingSettings) -> None:
+        """Follow changed bounds."""
+        self.budget.limits = repeat_limits(settings)
+
+    def follow_hosts(self, now_ms: float) -> None:
+        """Share what all hosts share among those that live now."""
+        hosts = self._world.live_host_count()
+        if hosts != self.budget.hosts:
+            self.budget.share_among(hosts, now_ms)
+            self.client.resize(self._world.catalog.registration_by_upstream)
+
+    def follow_catalog(self, change: CatalogChanged, now_ms: float) -> None:
+        """Forget what is gone, and meet other incarnations afresh."""
+        catalog = self._world.catalog
+        registered = catalog.registration_by_upstream
+        for upstream in change.upstreams:
+            registration = registered.get(upstream)
+            if registration is None:
+                self.observations.forget([upstream])
+                self.client.retire([upstream])
+                continue
+            seen = self.observations.of(upstream)
+            if seen.started_ms != registration.started_ms:
+                cold_until_ms = now_ms + registration.cold_ms
+                self.observations.renew(
+                    upstream, registration.started_ms, cold_until_ms
+                )
+                self.client.retire([upstream])
+        if change.tables and catalog.tables is not None:
+            names = {route.name for route in catalog.tables.routes}
+            self.observations.keep_routes(names)
+            self._choices.keep(names)
+            self.budget.keep({one.name for one in catalog.tables.services})
+            self.client.resize(registered)
+
+    def _replicas_of(self, service: ServiceId) -> Iterable[Registration]:
+        return self._world.catalog.upstreams_by_service.get(service, {}).values()
+
+    def _warm_targets(self) -> Iterable[Registration]:
+        tables = self._world.catalog.tables
+        if tables is None or self._world.fleet.leaving:
+            return ()
+        now_ms = self._clock.now_ms()
+        return warm_targets(
+            tables.routes,
+            lambda service: self._planner.rank_for_search(service, now_ms),
+        )
+
+    def _connections(self, registration: Registration) -> int:
+        bounds = self._world.catalog.bounds_by_service.get(registration.service)
+        limit = bounds.connections_limit if bounds else DEFAULT_CONNECTIONS
+        return connection_share(limit, self._world.live_host_count())
+
+
+def repeat_limits(settings: ForwardingSettings) -> RepeatLimits:
+    """Return the operators' bound of repeats."""
+    return RepeatLimits(
+        settings.repeat_ratio, settings.repeat_allowance, settings.repeat_window_ms
+    )
--- a/burdockmill/forwarding/request_run.py
+++ b/burdockmill/forwarding/request_run.py
@@ -6,8 +6,6 @@
 
 from burdockmill.errors import (
     DeadlineExceededError,
-    NoReplicaError,
-    OverloadedError,
     Ran,
     UpstreamFailedError,
 )
@@ -17,6 +15,7 @@
     SendAttempt,
     WithdrawAttempt,
 )
+from burdockmill.forwarding.failures import refusal, uncovered
 from burdockmill.forwarding.messages import (
     AttemptEnd,
     AttemptKind,
@@ -25,7 +24,6 @@
 )
 from burdockmill.forwarding.part_run import AttemptRow, PartRun
 from burdockmill.policies.answer_timing import answer_times, is_enough
-from burdockmill.policies.return_time import return_after_ms
 
 if TYPE_CHECKING:
     from burdockmill.errors import BurdockmillError
@@ -116,7 +114,7 @@
             return actions
         if outcome.end is AttemptEnd.ANSWERED:
             part.answer = outcome.answer
-            self._withdraw_others(part, actions)
+            actions.extend(WithdrawAttempt(row.number) for row in part.under_way)
         else:
             self._after_failure(part, now_ms, actions)
         self._settle(now_ms, actions)
@@ -225,10 +223,6 @@
     def _is_too_late(self, now_ms: float) -> bool:
         return now_ms + LEAST_ATTEMPT_MS >= self._times.final_ms
 
-    def _withdraw_others(self, part: PartRun, actions: list[RunAction]) -> None:
-        for row in part.under_way:
-            actions.append(WithdrawAttempt(row.number))
-
     def _settle(self, now_ms: float, actions: list[RunAction]) -> None:
         """Answer if it is time to."""
         if self.route.shards is None:
@@ -260,7 +254,9 @@
                 f"The upstream's answer was lost: {part.lost}.", ran=Ran.UNKNOWN
             )
             return self._conclude(error, part.lost)
-        return self._refuse([part], now_ms)
+        return self._conclude(
+            refusal([part], self._times.final_ms - now_ms), "no upstream took it"
+        )
 
     def _settle_search(self, now_ms: float, actions: list[RunAction]) -> None:
         shards = self.route.shards
@@ -294,28 +290,9 @@
 
     def _conclude_uncovered(self, lost: list[PartRun], now_ms: float) -> Conclude:
         if not any(part.possible_runs for part in self.parts):
-            return self._refuse(lost, now_ms)
-        names = ", ".join(f"{part.service} ({part.lost})" for part in lost)
-        error = UpstreamFailedError(
-            f"Too few shards can answer; lost: {names}.", ran=Ran.UNKNOWN
-        )
-        return self._conclude(error, "too many shards are lost")
-
-    def _refuse(self, lost: list[PartRun], now_ms: float) -> Conclude:
-        """Refuse what no upstream has run."""
-        left_ms = self._times.final_ms - now_ms
-        retry_after_ms = return_after_ms(left_ms)
-        names = ", ".join(part.service for part in lost)
-        if any(part.attempts for part in lost):
-            error: BurdockmillError = OverloadedError(
-                f"No upstream of {names} takes more work.",
-                retry_after_ms=retry_after_ms,
-            )
-        else:
-            error = NoReplicaError(
-                f"No upstream of {names} is known.", retry_after_ms=retry_after_ms
-            )
-        return self._conclude(error, "no upstream took it")
+            left_ms = self._times.final_ms - now_ms
+            return self._conclude(refusal(lost, left_ms), "no upstream took it")
+        return self._conclude(uncovered(lost), "too many shards are lost")
 
     def _conclude(
         self, result: UpstreamAnswer | MergedAnswer | BurdockmillError, note: str
--- a/burdockmill/forwarding/settings.py
+++ b/burdockmill/forwarding/settings.py
@@ -20,6 +20,7 @@
     read_object,
     whole_field,
 )
+from burdockmill.tables.rows import MemberRow
 
 
 class ForwardingSettings(NamedTuple):
@@ -49,6 +50,14 @@
     peer_key: str = ""
     fault_switch: bool = False
 
+    def seed_rows(self) -> tuple[MemberRow, ...]:
+        """Return rows that stand for seeds until they tell their failure domain."""
+        return tuple(
+            MemberRow(address, "", "", address)
+            for address in self.seeds
+            if address != self.peer_address
+        )
+
 
 def _contact() -> Field:
     return Field(str, CONTACT_REMEDY, required=True, accepts=is_address)
--- a/burdockmill/forwarding_node.py
+++ b/burdockmill/forwarding_node.py
@@ -15,21 +15,14 @@
 from burdockmill._forwarding_stop import ForwardingStop
 from burdockmill._line_writer import LineWriter
 from burdockmill.clients.catalog_reader import CatalogReader
-from burdockmill.clients.connection_warmer import ConnectionWarmer
-from burdockmill.clients.forwarding_client import ForwardingClient
 from burdockmill.clients.peer_client import PeerClient, messages_of
 from burdockmill.clock import BootClock
 from burdockmill.core import make_fleet_engine
 from burdockmill.decision_log import DecisionLog
 from burdockmill.engine_pump import EnginePump
 from burdockmill.errors import Ran, StoppingError
-from burdockmill.forwarding.forwarder import Forwarder
-from burdockmill.forwarding.merge_policy import GreatestRecords
-from burdockmill.forwarding.observations import Observations
-from burdockmill.forwarding.planner import Planner
-from burdockmill.forwarding.request_log import RequestLog
+from burdockmill.forwarding.data_path import DataPath
 from burdockmill.forwarding.routes import IngressLimits
-from burdockmill.forwarding.weighted_choice import WeightedChoices
 from burdockmill.messages.actions import Announce, LogDecision, SendToPeer
 from burdockmill.messages.events import (
     CatalogChanged,
@@ -40,10 +33,6 @@
     SeedsRead,
 )
 from burdockmill.metrics import Metrics
-from burdockmill.policies.connection_share import connection_share
-from burdockmill.policies.repeat_budget import RepeatBudget, RepeatLimits
-from burdockmill.policies.replica_choice import ExpectedLatencyChoice
-from burdockmill.policies.warm_targets import warm_targets
 from burdockmill.surfaces._bounded_server import ServerBounds
 from burdockmill.surfaces.host_gateway import HostGateway
 from burdockmill.surfaces.ingress import Ingress, ready_app
@@ -54,7 +43,7 @@
 from burdockmill.tables.rows import MemberRow
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine, Iterable, Mapping
+    from collections.abc import Callable, Coroutine, Mapping
     from socket import socket
 
     from aiohttp import web
@@ -63,18 +52,16 @@
     from burdockmill.clock import Clock
     from burdockmill.explanation import Explanation
     from burdockmill.forwarding.codecs import IngressCodec, UpstreamCodec
-    from burdockmill.forwarding.messages import Registration
     from burdockmill.forwarding.settings import ForwardingSettings
     from burdockmill.messages.actions import Action
     from burdockmill.messages.events import Event
     from burdockmill.messages.peer import PeerBatch
-    from burdockmill.names import Address, HostId, RequestId, ServiceId
+    from burdockmill.names import Address, HostId, RequestId
     from burdockmill.settings_watch import SettingsWatch
 
 MILLISECONDS_PER_SECOND = 1_000
 # Decisions are written to the log together this often.
 FLUSH_MS = 100.0
-DEFAULT_CONNECTIONS = 16
 # Without a catalog by then, clients are told that this host is not ready.
 CATALOG_WAIT_MS = 1_000.0
 CATALOG_POLL_MS = 5.0
@@ -108,12 +95,17 @@
         self.engine = make_fleet_engine(settings.host, settings.domain, rng, ring)
         self._pump = EnginePump(self.engine, self.clock, self._carry_out, self.counts)
         self.peers = PeerClient(settings.host, settings.peer_key, self.post)
-        self.observations = Observations()
-        self.client = ForwardingClient(upstream_codec, self.clock, self._connections)
-        self._choices = WeightedChoices(rng)
-        self.forwarder = self._make_forwarder()
+        self.path = DataPath(
+            settings,
+            self.engine.world,
+            self.clock,
+            upstream_codec,
+            self.decisions,
+            self.metrics,
+            self._flush_soon,
+        )
         self.ingress = Ingress(
-            self.forwarder,
+            self.path.forwarder,
             ingress_codec,
             self.clock,
             lambda: self.stopping,
@@ -164,12 +156,11 @@
         place = (settings.host, settings.domain, settings.region, settings.peer_address)
         started_ms = int(time.time() * MILLISECONDS_PER_SECOND)
         own = MemberRow(*place, incarnation=started_ms)
-        self.post(HostStarted(own, self._seed_rows(settings.seeds)))
+        self.post(HostStarted(own, settings.seed_rows()))
         self._start_task(self._reader.run())
         if self._settings_watch is not None:
             self._start_task(self._settings_watch.run())
-        warmer = ConnectionWarmer(self.client, self._warm_targets)
-        self._start_task(warmer.run())
+        self._start_task(self.path.warmer.run())
         # Clients that connect meanwhile wait in the kernel and are not refused.
         await self._wait_for_catalog()
         await self._open(
@@ -198,7 +189,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for listener in self.listener_by_surface.values():
             await listener.close()
-        await self.client.close()
+        await self.path.client.close()
         await self.peers.close()
         await self.source.close()
         self._pump.close()
@@ -214,8 +205,8 @@
     def apply(self, settings: ForwardingSettings) -> None:
         """Follow changed settings; changed addresses wait for the next start."""
         self.settings = settings
-        self.budget.limits = _repeat_limits(settings)
-        self.post(SeedsRead(self._seed_rows(settings.seeds)))
+        self.path.apply(settings)
+        self.post(SeedsRead(settings.seed_rows()))
 
     def post(self, event: Event) -> None:
         """Queue an event for the core's next tick."""
@@ -254,49 +245,7 @@
         """Count what a surface refused, by the kind of its error."""
         self.metrics.count_refusal(surface, kind)
 
-    def _make_forwarder(self) -> Forwarder:
-        settings = self.settings
-        world = self.engine.world
-        choice = ExpectedLatencyChoice(
-            settings.domain,
-            settings.region_by_domain,
-            self.observations,
-            world.catalog.leaves_ms_by_upstream,
-        )
-        self.budget = RepeatBudget(_repeat_limits(settings))
-        planner = Planner(self._replicas_of, choice, self.budget, self.observations)
-        log = RequestLog(world, planner, self.decisions, self.metrics, self._flush_soon)
-        merge = GreatestRecords()
-        return Forwarder(
-            self.clock,
-            world.catalog,
-            planner,
-            self._choices,
-            merge,
-            self.client,
-            log,
-        )
-
-    def _replicas_of(self, service: ServiceId) -> Iterable[Registration]:
-        return self.engine.world.catalog.upstreams_by_service.get(service, {}).values()
-
-    def _warm_targets(self) -> Iterable[Registration]:
-        tables = self.engine.world.catalog.tables
-        if tables is None or self.stopping:
-            return ()
-        planner = self.forwarder.planner
-        now_ms = self.clock.now_ms()
-        return warm_targets(
-            tables.routes, lambda service: planner.rank_for_search(service, now_ms)
-        )
-
-    def _connections(self, registration: Registration) -> int:
-        bounds = self.engine.world.catalog.bounds_by_service.get(registration.service)
-        limit = bounds.connections_limit if bounds else DEFAULT_CONNECTIONS
-        return connection_share(limit, self.engine.world.live_host_count())
-
     def _carry_out(self, actions: list[Action], now_ms: float) -> None:
-        world = self.engine.world
         for action in actions:
             match action:
                 case LogDecision():
@@ -305,11 +254,8 @@
                 case SendToPeer():
                     self._send_to_peer(action)
                 case Announce(event=CatalogChanged() as change):
-                    self._follow(change, now_ms)
-        hosts = world.live_host_count()
-        if hosts != self.budget.hosts:
-            self.budget.share_among(hosts, now_ms)
-            self.client.resize(world.catalog.registration_by_upstream)
+                    self.path.follow_catalog(change, now_ms)
+        self.path.follow_hosts(now_ms)
 
     def _send_to_peer(self, action: SendToPeer) -> None:
         member = self.engine.world.member_by_host.get(action.host)
@@ -318,42 +264,11 @@
             return
         self.peers.send(action.host, member.peer_address, action.message)
 
-    def _follow(self, change: CatalogChanged, now_ms: float) -> None:
-        catalog = self.engine.world.catalog
-        registered = catalog.registration_by_upstream
-        for upstream in change.upstreams:
-            registration = registered.get(upstream)
-            if registration is None:
-                self.observations.forget([upstream])
-                self.client.retire([upstream])
-                continue
-            seen = self.observations.of(upstream)
-            if seen.started_ms != registration.started_ms:
-                cold_until_ms = now_ms + registration.cold_ms
-                self.observations.renew(
-                    upstream, registration.started_ms, cold_until_ms
-                )
-                self.client.retire([upstream])
-        if change.tables and catalog.tables is not None:
-            names = {route.name for route in catalog.tables.routes}
-            self.observations.keep_routes(names)
-            self._choices.keep(names)
-            self.budget.keep({one.name for one in catalog.tables.services})
-            self.client.resize(registered)
-
     async def _wait_for_catalog(self) -> None:
         end_ms = self.clock.now_ms() + CATALOG_WAIT_MS
         while not self.ready and self.clock.now_ms() < end_ms:
             await asyncio.sleep(CATALOG_POLL_MS / MILLISECONDS_PER_SECOND)
 
-    def _seed_rows(self, seeds: Iterable[Address]) -> tuple[MemberRow, ...]:
-        """Return rows that stand for seeds until they tell their domain."""
-        return tuple(
-            MemberRow(address, "", "", address)
-            for address in seeds
-            if address != self.settings.peer_address
-        )
-
     def _flush_soon(self) -> None:
         if self._flush_timer is None:
             self._flush_timer = asyncio.get_running_loop().call_later(
@@ -386,12 +301,6 @@
         await listener.open(address, listening)
 
 
-def _repeat_limits(settings: ForwardingSettings) -> RepeatLimits:
-    return RepeatLimits(
-        settings.repeat_ratio, settings.repeat_allowance, settings.repeat_window_ms
-    )
-
-
 def _report_end(task: asyncio.Task[None]) -> None:
     if not task.cancelled() and task.exception() is not None:
         logger.opt(exception=task.exception()).error("node: a task failed.")
--- a/tests/test_forwarding_node.py
+++ b/tests/test_forwarding_node.py
@@ -103,11 +103,11 @@
     client.close()
 
     def is_stopped():
-        return not site.nodes[0].forwarder.open_runs
+        return not site.nodes[0].path.forwarder.open_runs
 
     await until(is_stopped, "the run ends", 0.5)
-    assert site.nodes[0].forwarder.counts["clients_gone"] == 1
-    assert not site.nodes[0].client._open
+    assert site.nodes[0].path.forwarder.counts["clients_gone"] == 1
+    assert not site.nodes[0].path.client._open
 
 
 async def test_a_configuration_that_drops_a_route_is_followed(site):
@@ -153,10 +153,10 @@
     client = site.client()
     await client.ask("/fetch/x")
     node = site.nodes[0]
-    assert node.observations.of("u-c").latency_ms is not None
+    assert node.path.observations.of("u-c").latency_ms is not None
     site.register("c", born=1_999_999_999_999)
     await until(
-        lambda: node.observations.of("u-c").latency_ms is None, "it is met afresh"
+        lambda: node.path.observations.of("u-c").latency_ms is None, "it is met afresh"
     )
     assert (await client.ask("/fetch/x")).status == 200
 
--- a/tests/test_settings_watch.py
+++ b/tests/test_settings_watch.py
@@ -63,7 +63,7 @@
         seed = "127.0.0.9:4"
         changed = node.settings._replace(repeat_allowance=9.0, seeds=(seed,))
         node.apply(changed)
-        assert node.budget.limits.allowance == 9.0
+        assert node.path.budget.limits.allowance == 9.0
         members = node.engine.world.member_by_host
         await until(lambda: seed in members, "the new seed is known")
 
