--- /dev/null
+++ b/tests/test_catalog_spread.py
@@ -0,0 +1,135 @@
+"""Check that every host follows the catalog, whoever of them hears the store."""
+
+import pytest
+
+from burdockmill.core import make_fleet_engine
+from burdockmill.messages.catalog import CatalogDelta, Departed
+from burdockmill.messages.events import CatalogRead
+from burdockmill.systems._ring import Ring
+from tests.builders_fleet import DOMAINS, Fleet
+from tests.builders_forwarding import make_delta, make_registration, make_tables
+
+LIMIT_MS = 3_000
+
+
+@pytest.fixture
+def fleet_of(monkeypatch):
+    monkeypatch.setattr(
+        "burdockmill.standins.virtual_fleet.make_engine",
+        lambda host, domain, rng: make_fleet_engine(host, domain, rng, Ring()),
+    )
+    return Fleet
+
+
+def first_reader(fleet, domain):
+    return fleet.readers(domain)[0]
+
+
+def read(fleet, host, delta):
+    fleet.virtual.post(host, CatalogRead(delta))
+
+
+def start(fleet):
+    """Let a fleet meet, with revision 5 in force everywhere."""
+    whole = make_delta(
+        5,
+        make_registration("u-1"),
+        tables=make_tables(5),
+        tables_revision=5,
+        is_whole=True,
+    )
+    fleet.run(4_000)
+    for domain in DOMAINS:
+        read(fleet, first_reader(fleet, domain), whole)
+    fleet.run(LIMIT_MS)
+    assert set(revisions(fleet)) == {5}
+
+
+def revisions(fleet):
+    return [fleet.world(host).catalog.revision for host in fleet.live]
+
+
+def newer(revision):
+    return make_delta(
+        revision,
+        make_registration("u-1", draining=True),
+        base=revision - 1,
+        tables=make_tables(revision),
+        tables_revision=revision,
+    )
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.05])
+@pytest.mark.parametrize("per_domain", [3, 14])
+def test_a_change_read_in_each_domain_is_in_force_everywhere(
+    fleet_of, loss, per_domain
+):
+    fleet = fleet_of(per_domain=per_domain, loss=loss)
+    start(fleet)
+    for domain in DOMAINS:
+        read(fleet, first_reader(fleet, domain), newer(6))
+    fleet.run(LIMIT_MS)
+    assert set(revisions(fleet)) == {6}
+    worlds = [fleet.world(host) for host in fleet.live]
+    assert all(one.catalog.tables.version == 6 for one in worlds)
+
+
+@pytest.mark.parametrize("per_domain", [3, 14])
+def test_a_change_that_one_domain_hears_reaches_the_others(fleet_of, per_domain):
+    fleet = fleet_of(per_domain=per_domain)
+    start(fleet)
+    read(fleet, first_reader(fleet, "krk-a"), newer(6))
+    fleet.run(LIMIT_MS)
+    assert set(revisions(fleet)) == {6}
+
+
+def test_a_change_that_any_host_hears_reaches_all(fleet_of):
+    fleet = fleet_of()
+    start(fleet)
+    other = next(
+        host
+        for host in fleet.live
+        if fleet.domain_by_host[host] == "gda-a"
+        and host != first_reader(fleet, "gda-a")
+    )
+    read(fleet, other, newer(6))
+    fleet.run(LIMIT_MS)
+    assert set(revisions(fleet)) == {6}
+
+
+def test_a_domain_that_was_cut_off_catches_up_and_nothing_goes_back(fleet_of):
+    fleet = fleet_of()
+    start(fleet)
+    cut = [host for host in fleet.live if fleet.domain_by_host[host] == "gda-a"]
+    for host in cut:
+        fleet.links.group_by_host[host] = 1
+    for revision in range(6, 12):
+        read(fleet, first_reader(fleet, "waw-a"), newer(revision))
+        fleet.run(1_000)
+    assert {fleet.world(host).catalog.revision for host in cut} == {5}
+    fleet.links.group_by_host.clear()
+    fleet.run(8_000)
+    assert set(revisions(fleet)) == {11}
+
+
+def test_a_departure_reaches_all_with_what_is_left_of_its_grace(fleet_of):
+    fleet = fleet_of()
+    start(fleet)
+    gone = CatalogDelta(5, 6, departed=(Departed(6, "u-1", 2_300.0),))
+    read(fleet, first_reader(fleet, "waw-a"), gone)
+    fleet.run(1_500)
+    worlds = [fleet.world(host) for host in fleet.live]
+    assert all("u-1" in one.catalog.registration_by_upstream for one in worlds)
+    fleet.run(3_500)
+    assert not any("u-1" in one.catalog.registration_by_upstream for one in worlds)
+
+
+def test_a_restarted_host_gets_the_catalog_from_its_peers(fleet_of):
+    fleet = fleet_of()
+    start(fleet)
+    fleet.virtual.remove_host("krk-a-1")
+    fleet.run(500)
+    fleet.start("krk-a-1", incarnation=99)
+    fleet.run(1_500)
+    assert fleet.world("krk-a-1").catalog.revision == 5
+    assert fleet.world("krk-a-1").catalog.tables.version == 5
--- /dev/null
+++ b/tests/test_fuzz_forwarding.py
@@ -0,0 +1,141 @@
+"""Fuzz the run of a request against what must always hold."""
+
+import random
+
+from hypothesis import given, settings, strategies as st
+
+from burdockmill.errors import BurdockmillError, Ran
+from burdockmill.forwarding.messages import (
+    AttemptEnd,
+    AttemptOutcome,
+    MergedAnswer,
+    UpstreamAnswer,
+)
+from tests.builders_forwarding import (
+    Run,
+    answered,
+    failed,
+    make_planner,
+    make_request,
+    make_route,
+    make_single_route,
+    record,
+    replicas_of,
+)
+
+ENDS = [
+    AttemptEnd.NOT_RUN,
+    AttemptEnd.NOT_SENT,
+    AttemptEnd.WRONG_INSTANCE,
+    AttemptEnd.BROKEN,
+    AttemptEnd.WRONG_ANSWER,
+    AttemptEnd.SILENT,
+]
+
+
+class Story:
+    """Let attempts end at random times, until the request is answered."""
+
+    def __init__(self, seed, route, replicas):
+        self.rng = random.Random(seed)
+        self.route = route
+        deadline_ms = self.rng.choice((20.0, 150.0, 900.0))
+        planner = make_planner(lambda name: replicas_of(name)[:replicas])
+        self.body_by_part = {}
+        self.ended = {}
+        self.run = Run(route, planner, make_request(deadline_ms=deadline_ms))
+        self.now_ms = 0.0
+        self.answered_ms = 0.0
+        for _ in range(400):
+            if self.run.result is not None:
+                break
+            self._step()
+
+    def _step(self):
+        open_attempts = [
+            action for action in self.run.sent if action.attempt not in self.ended
+        ]
+        due_ms = self.run.run.next_due_ms
+        if open_attempts and self.rng.random() < 0.6:
+            self.now_ms = min(self.now_ms + self.rng.expovariate(0.1), due_ms)
+            action = self.rng.choice(open_attempts)
+            outcome = self._outcome(action)
+            self.ended[action.attempt] = outcome
+            self.run.end(action.attempt, outcome, self.now_ms)
+        else:
+            self.now_ms = max(self.now_ms, due_ms)
+            self.run.tick(self.now_ms)
+
+    def _outcome(self, action):
+        draw = self.rng.random()
+        if draw < 0.55:
+            body = record(self.rng.randrange(1_000)) + record(self.rng.randrange(1_000))
+            return answered(body, f"stamp-{action.attempt}")
+        if draw < 0.65:
+            return failed(500, f"stamp-{action.attempt}")
+        return AttemptOutcome(self.rng.choice(ENDS))
+
+    def possible_runs(self, part):
+        return [
+            action
+            for action in self.run.attempts_of(part)
+            if action.attempt not in self.ended
+            or not self.ended[action.attempt].end.certainly_not_run
+        ]
+
+
+def check(story):
+    run, route = story.run, story.route
+    assert run.result is not None
+    assert story.now_ms <= run.run.request.deadline_ms
+    for part in run.run.parts:
+        upstreams = [action.upstream.upstream for action in run.attempts_of(part.index)]
+        assert len(upstreams) == len(set(upstreams))
+        limit = route.attempts_limit if route.is_idempotent else 1
+        assert len(story.possible_runs(part.index)) <= limit
+    result = run.result
+    if isinstance(result, BurdockmillError):
+        if result.ran is Ran.NO:
+            assert not any(story.possible_runs(part.index) for part in run.run.parts)
+        if result.status in (429, 503):
+            assert result.ran is Ran.NO
+            assert result.retry_after_ms > 0
+    elif isinstance(result, UpstreamAnswer):
+        assert any(outcome.answer is result for outcome in story.ended.values())
+    else:
+        check_merged(story, result)
+
+
+def check_merged(story, result):
+    assert isinstance(result, MergedAnswer)
+    shards = story.route.shards
+    by_stamp = {
+        outcome.answer.stamp: (action.part, outcome.answer.body)
+        for action in story.run.sent
+        if (outcome := story.ended.get(action.attempt)) is not None
+        and outcome.end is AttemptEnd.ANSWERED
+    }
+    parts = [by_stamp[stamp][0] for stamp in result.stamps]
+    assert len(parts) == len(set(parts)) == len(shards.services) - result.missing
+    assert len(parts) >= shards.least_coverage * len(shards.services)
+    bodies = b"".join(by_stamp[stamp][1] for stamp in result.stamps)
+    records = sorted(
+        (bodies[at : at + 16] for at in range(0, len(bodies), 16)), reverse=True
+    )
+    assert result.body == b"".join(records[: shards.top_count])
+
+
+@settings(max_examples=400, deadline=None)
+@given(
+    seed=st.integers(0, 1_000_000),
+    shards=st.integers(1, 12),
+    replicas=st.integers(0, 3),
+)
+def test_searches(seed, shards, replicas):
+    check(Story(seed, make_route(shards=shards), replicas))
+
+
+@settings(max_examples=300, deadline=None)
+@given(seed=st.integers(0, 1_000_000), replicas=st.integers(0, 3), safe=st.booleans())
+def test_single_requests(seed, replicas, safe):
+    check(Story(seed, make_single_route(is_idempotent=safe), replicas))
