--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -19,6 +19,7 @@
     UpstreamFailed,
     UpstreamRefused,
 )
+from burdockmill.messages.fleet import ProbeAsk
 from burdockmill.messages.peer import PeerBatch, PeerMessage, Reason, WorkCancel
 from burdockmill.rules.model import RequestKind
 from burdockmill.slots import FULL_RANGE, SlotRange, slot_of
@@ -376,3 +377,21 @@
         event = await events.get()
     assert (event.host, event.ran) == ("entry-2", ran)
     await client.close()
+
+
+async def test_a_message_sent_while_the_peer_client_closes_is_reported():
+    reported = []
+    client = PeerClient("entry-1", "k" * 16, reported.append)
+    sessions = [client._session_of(f"127.0.0.1:{port}") for port in (1, 2, 3)]
+    close = sessions[0].close
+
+    async def close_slowly():
+        # The core goes on to tick while connections close.
+        client.send("entry-9", "127.0.0.1:9", ProbeAsk("entry-2"))
+        await close()
+
+    sessions[0].close = close_slowly
+    await client.close()
+    await asyncio.sleep(0.05)
+    assert [event.host for event in reported] == ["entry-9"]
+    assert client.is_idle
