Close a peer client while the core still sends, and stop a host that starts

Cause: the sessions were iterated while a tick sent to a peer, which moves its session to the end: 'OrderedDict mutated during iteration' ended a stop without its last line (traced by the stop's own log, seen three times beside busy processes). A host stopped before it served clients had no surface to stop. Ruled out: the log's reader, the entrypoint's time limit, the collected start task.

--- a/burdockmill/_forwarding_stop.py
+++ b/burdockmill/_forwarding_stop.py
@@ -33,8 +33,14 @@
         self.begun = False
         self.refuses_all = False
 
-    async def run(self, ingress: Listener) -> None:
-        """Return once all requests are answered or the grace time has passed."""
+    async def run(self, ingress: Listener | None) -> None:
+        """Return once all requests are answered or the grace time has passed.
+
+        `ingress` is None where the host has not begun to serve clients.
+        """
+        if ingress is None:
+            self.refuses_all = True
+            return
         end_ms = self._clock.now_ms() + self._settings.stop_grace_ms - CLOSING_MS
         lag_ms = min(self._settings.balancer_lag_ms, self._settings.stop_grace_ms)
         logger.info(
--- a/burdockmill/clients/peer_client.py
+++ b/burdockmill/clients/peer_client.py
@@ -125,9 +125,14 @@
         self._queue_by_host: dict[HostId, _PeerQueue] = {}
         self._session_by_address: OrderedDict[Address, WriteOnceSession] = OrderedDict()
         self._closing: set[asyncio.Task] = set()
+        self._closed = False
 
     def send(self, host: HostId, address: Address, message: PeerMessage) -> None:
         """Queue a message; a full queue reports it as not delivered."""
+        if self._closed:
+            self.counts["sent_after_close"] += 1
+            self._report_soon(host, message)
+            return
         queue = self._queue_by_host.get(host)
         if queue is None:
             queue = self._queue_by_host[host] = _PeerQueue(host, address)
@@ -167,6 +172,7 @@
 
     async def close(self) -> None:
         """Stop sending, report what was not delivered, and close all connections."""
+        self._closed = True
         queues = list(self._queue_by_host.values())
         flushers = [queue.flusher for queue in queues if queue.flusher is not None]
         for flusher in flushers:
@@ -176,7 +182,7 @@
             self._report(queue.host, list(queue.waiting), Ran.NO)
         self._queue_by_host.clear()
         await asyncio.gather(*self._closing)
-        for session in self._session_by_address.values():
+        for session in list(self._session_by_address.values()):
             await session.close()
 
     async def _flush(self, queue: _PeerQueue) -> None:
--- a/burdockmill/forwarding_node.py
+++ b/burdockmill/forwarding_node.py
@@ -183,7 +183,7 @@
         """Finish what is under way within the grace time, then close all."""
         self._stop.begun = True
         self.post(HostStopping(float(self.settings.balancer_lag_ms)))
-        await self._stop.run(self.listener_by_surface["ingress"])
+        await self._stop.run(self.listener_by_surface.get("ingress"))
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/tests/test_forwarding_node.py
+++ b/tests/test_forwarding_node.py
@@ -271,3 +271,14 @@
         assert answer.status == 503
         assert json.loads(answer.body)["kind"] == "not_ready"
         assert not node.ready
+
+
+async def test_a_host_that_is_stopped_while_it_starts_ends_in_order():
+    async with Site(hosts=0) as site:
+        starting = asyncio.ensure_future(
+            site.start(free_address(), store_address=free_address())
+        )
+        await until(lambda: site.nodes, "the host starts")
+        await asyncio.sleep(0.05)
+        await site.nodes[0].stop()
+        await asyncio.gather(starting, return_exceptions=True)
