Load only what a forwarding host serves with

Cause: clients of a host that starts wait for its imports. Of 690 modules a quarter belonged to aiomisc's service layer, to owners, searches, tickets and rules, none of which a host on the platform runs.

Ruled out: skipping site hooks, which belong to the machine; unchecked bytecode, which would run stale code after an edit.

--- a/burdockmill/_forwarding_reports.py
+++ b/burdockmill/_forwarding_reports.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from burdockmill.explanation import explain_here
-from burdockmill.host_status import members_of
+from burdockmill.member_status import members_of
 from burdockmill.metrics import (
     CONNECTIONS_OPEN,
     MEMBERS,
--- a/burdockmill/_host_reports.py
+++ b/burdockmill/_host_reports.py
@@ -9,11 +9,11 @@
 from burdockmill.fleet_status import fleet_status
 from burdockmill.host_status import (
     HostStatus,
-    members_of,
     owned_count,
     seen_count,
     worst_upstreams_of,
 )
+from burdockmill.member_status import members_of
 from burdockmill.metrics import (
     ATTEMPTS_OWNED,
     CONNECTIONS_OPEN,
--- a/burdockmill/core.py
+++ b/burdockmill/core.py
@@ -11,7 +11,6 @@
 from burdockmill.systems._ring import Ring
 from burdockmill.systems.action_guard_system import ActionGuardSystem
 from burdockmill.systems.action_system import ActionSystem
-from burdockmill.systems.catalog_system import CatalogSystem
 from burdockmill.systems.config_system import ConfigSystem
 from burdockmill.systems.far_probe_system import FarProbeSystem
 from burdockmill.systems.fetch_system import FetchSystem
@@ -71,19 +70,3 @@
         OwnerSystem(router),
     )
     return Engine(world, systems)
-
-
-def make_fleet_engine(
-    host: HostId, domain: DomainId, rng: random.Random, ring: Ring
-) -> Engine:
-    """Return an engine that keeps members and the catalog, and no upstream's queue."""
-    systems = (
-        CatalogSystem(),
-        MemberSystem(),
-        ProbeSystem(ring),
-        FarProbeSystem(),
-        RefreshSystem(ring),
-        SpreadSystem(ring),
-        SyncSystem(),
-    )
-    return Engine(World(host, domain, rng), systems)
--- a/burdockmill/forwarding_node.py
+++ b/burdockmill/forwarding_node.py
@@ -17,10 +17,10 @@
 from burdockmill.clients.catalog_reader import CatalogReader
 from burdockmill.clients.peer_client import PeerClient, messages_of
 from burdockmill.clock import BootClock
-from burdockmill.core import make_fleet_engine
 from burdockmill.decision_log import DecisionLog
 from burdockmill.engine_pump import EnginePump
 from burdockmill.errors import Ran, StoppingError
+from burdockmill.fleet_core import make_fleet_engine
 from burdockmill.forwarding.data_path import DataPath
 from burdockmill.forwarding.routes import IngressLimits
 from burdockmill.messages.actions import Announce, LogDecision, SendToPeer
--- a/burdockmill/host_status.py
+++ b/burdockmill/host_status.py
@@ -5,6 +5,7 @@
 import heapq
 from typing import TYPE_CHECKING, TypedDict
 
+from burdockmill.member_status import MemberStatus
 from burdockmill.systems.routing import Router
 
 if TYPE_CHECKING:
@@ -14,15 +15,6 @@
 WORST_UPSTREAMS = 10
 
 
-class MemberStatus(TypedDict):
-    """Describe a member as a host sees it."""
-
-    host: str
-    domain: str
-    leaving: bool
-    alive: bool
-
-
 class UpstreamStatus(TypedDict):
     """Describe an upstream as a host sees it; `took_ms` in milliseconds."""
 
@@ -52,17 +44,6 @@
     worst_upstreams: list[UpstreamStatus]
 
 
-def members_of(world: World) -> list[MemberStatus]:
-    """Return the members that a host sees, by domain and name."""
-    rows = sorted(world.member_by_host.values(), key=lambda row: (row.domain, row.host))
-    return [
-        MemberStatus(
-            host=row.host, domain=row.domain, leaving=row.leaving, alive=row.alive
-        )
-        for row in rows
-    ]
-
-
 def owned_count(world: World) -> int:
     """Return how many upstreams are placed on this host."""
     router = Router()
--- a/burdockmill/platform/daemon.py
+++ b/burdockmill/platform/daemon.py
@@ -11,13 +11,13 @@
 
 from burdockmill._line_writer import LineWriter
 from burdockmill.forwarding_node import ForwardingNode
+from burdockmill.lean_service import run_until_stopped
 from burdockmill.logs import set_up_logs
 from burdockmill.platform.ingress_codec import PlatformIngressCodec
 from burdockmill.platform.settings_file import parse_platform_settings
 from burdockmill.platform.store_source import StoreSource
 from burdockmill.platform.upstream_codec import PlatformUpstreamCodec
 from burdockmill.platform.wire_names import SETTINGS_VARIABLE
-from burdockmill.service import run_service
 from burdockmill.settings_watch import SettingsWatch
 
 if TYPE_CHECKING:
@@ -53,7 +53,7 @@
             node.apply(changed)
 
     watch = SettingsWatch(settings, lambda: _parse(path), apply)
-    run_service(make, settings.stop_grace_ms, lambda _: watch.check())
+    run_until_stopped(make, settings.stop_grace_ms, watch.check)
 
 
 def make_node(
--- a/burdockmill/service.py
+++ b/burdockmill/service.py
@@ -3,44 +3,29 @@
 from __future__ import annotations
 
 import asyncio
-import signal
-from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 import aiomisc
 from loguru import logger
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from burdockmill.settings import Settings
+    from burdockmill.startable import Startable
 
 MILLISECONDS_PER_SECOND = 1_000
 CLOSE_LIMIT_MS = 5_000
 
 
-class Startable(Protocol):
-    """Start and stop, as every kind of host does."""
-
-    async def start(self) -> None:
-        """Open the surfaces."""
-
-    async def stop(self) -> None:
-        """Finish what is under way, then close all."""
-
-
 class HostService(aiomisc.Service):
     """Run a host until its process is told to stop."""
 
     make: Callable[[], Startable]
-    on_hangup: Callable[[Startable], None] | None = None
 
     async def start(self) -> None:
         """Start the host and serve until stopped."""
         self.host = self.make()
-        on_hangup = self.on_hangup
-        if on_hangup is not None:
-            asyncio.get_running_loop().add_signal_handler(
-                signal.SIGHUP, lambda: on_hangup(self.host)
-            )
         await self.host.start()
         self.start_event.set()
         # The service holds the event, else the waiting task could be collected.
@@ -57,28 +42,15 @@
             raise
 
 
-def run_service(
-    make: Callable[[], Startable],
-    limit_ms: float,
-    on_hangup: Callable[[Startable], None] | None = None,
-) -> None:
-    """Run a host until SIGTERM or SIGINT; a stop may take `limit_ms` and a little.
+def run_node(settings: Settings) -> None:
+    """Run a node of the product's own interface until SIGTERM or SIGINT."""
+    from burdockmill.node import Node
 
-    `on_hangup` is called on SIGHUP, which ends the process where it is None.
-    """
-    service = HostService(make=make, on_hangup=on_hangup)
+    limit_ms = settings.balancer_lag_ms + settings.stop_grace_ms + CLOSE_LIMIT_MS
     with aiomisc.entrypoint(
-        service,
+        HostService(make=lambda: Node(settings)),
         log_config=False,
         pool_size=1,
-        shutdown_timeout=(limit_ms + CLOSE_LIMIT_MS) / MILLISECONDS_PER_SECOND,
+        shutdown_timeout=limit_ms / MILLISECONDS_PER_SECOND,
     ) as loop:
         loop.run_forever()
-
-
-def run_node(settings: Settings) -> None:
-    """Run a node of the product's own interface until SIGTERM or SIGINT."""
-    from burdockmill.node import Node
-
-    limit_ms = settings.balancer_lag_ms + settings.stop_grace_ms
-    run_service(lambda: Node(settings), limit_ms)
--- a/burdockmill/tables/fleet.py
+++ b/burdockmill/tables/fleet.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from functools import cached_property
 from typing import TYPE_CHECKING
 
 from burdockmill.messages.fleet import UNCONFIRMED_MS, LeavingList, TableDigest
-from burdockmill.rules.store import RulesStore
 from burdockmill.tables.gathered_news import RecentNews
 from burdockmill.tables.hash_tree import HashTree
 
 if TYPE_CHECKING:
     from burdockmill.names import DomainId, HostId, Revision, UpstreamId
+    from burdockmill.rules.store import RulesStore
 
 
 class FleetTables:
@@ -23,7 +24,6 @@
         self.refreshing = False
         self.started_ms = 0.0
         self.probes_sent = 0
-        self.store = RulesStore()
         self.members_by_domain: dict[DomainId, HashTree] = defaultdict(HashTree)
         self.holdings_by_domain: dict[DomainId, HashTree] = defaultdict(HashTree)
         self.changed_ms_by_domain: dict[DomainId, float] = {}
@@ -42,6 +42,13 @@
         self.confirmed_ms = -UNCONFIRMED_MS
         self.refused_problems: tuple[str, ...] = ()
 
+    @cached_property
+    def store(self) -> RulesStore:
+        """Return the rules in force; hosts without rules never load their module."""
+        from burdockmill.rules.store import RulesStore
+
+        return RulesStore()
+
     def digest(self, domain: DomainId) -> TableDigest:
         """Return the digest of what is known of a domain."""
         return TableDigest(
--- a/tests/test_catalog_spread.py
+++ b/tests/test_catalog_spread.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from burdockmill.core import make_fleet_engine
+from burdockmill.fleet_core import make_fleet_engine
 from burdockmill.messages.catalog import CatalogDelta, Departed
 from burdockmill.messages.events import CatalogRead
 from burdockmill.systems._ring import Ring
