Choose upstreams by idle connections, and remember their troubles longer

The time to connect was learnt as the upstream's own, and what was learnt faded within a second of thin traffic, so that two searches a second kept coming back to slow and failing upstreams.

Change: an idle connection counts while it is connected; expected times add what an attempt waits for its connection; latencies leave connecting out; a repeat that was not sent is refunded, and a retry of what never arrived is no repeat; what was learnt holds for 3 s and then fades; one slow answer counts as at most a multiple of the usual; nearer upstreams that are passed over are tested by copies. Due hedges are kept in a heap and the counts of a search are kept, not recounted.

--- a/burdockmill/clients/_recent_first_connector.py
+++ b/burdockmill/clients/_recent_first_connector.py
@@ -9,6 +9,7 @@
 from aiohttp import ClientConnectionError, ClientTimeout
 
 from burdockmill.clients._watchful_connector import WatchfulConnector
+from burdockmill.forwarding.messages import ConnectionState
 
 if TYPE_CHECKING:
     from collections import Counter
@@ -54,6 +55,15 @@
         """Return how many connections are open or about to be."""
         return len(self._acquired) + self._idle_count()
 
+    @property
+    def state(self) -> ConnectionState:
+        """Return what the next request would have to wait for."""
+        if self._idle_count():
+            return ConnectionState.IDLE
+        if len(self._acquired) < self._limit:
+            return ConnectionState.CLOSED
+        return ConnectionState.BUSY
+
     async def warm_up(self, route: ClientRequest) -> None:
         """Open connections up to the warm minimum without writing to them."""
         held: list[Connection] = []
@@ -81,7 +91,12 @@
         return len(idle)
 
     def _idle_count(self) -> int:
-        return sum(len(entries) for entries in self._conns.values())
+        """Return how many idle connections the upstream has not closed."""
+        return sum(
+            protocol.is_connected()
+            for entries in self._conns.values()
+            for protocol, _ in entries
+        )
 
     async def _get(self, key: ConnectionKey, traces: list[Trace]) -> Connection | None:
         if entries := self._conns.get(key):
--- a/burdockmill/clients/forwarding_client.py
+++ b/burdockmill/clients/forwarding_client.py
@@ -10,7 +10,11 @@
 
 from burdockmill.clients._upstream_codec import WrongAnswerError
 from burdockmill.clients._upstream_pool import UpstreamPool
-from burdockmill.forwarding.messages import AttemptEnd, AttemptOutcome
+from burdockmill.forwarding.messages import (
+    AttemptEnd,
+    AttemptOutcome,
+    ConnectionState,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
@@ -32,13 +36,19 @@
 class Sending:
     """Follow one attempt: whether it may have been written, and its task."""
 
-    __slots__ = ("action", "task", "written")
+    __slots__ = ("action", "asked_ms", "task", "written_ms")
 
-    def __init__(self, action: SendAttempt) -> None:
+    def __init__(self, action: SendAttempt, asked_ms: float) -> None:
         self.action = action
-        self.written = False
+        self.asked_ms = asked_ms
+        self.written_ms: float | None = None
         self.task: asyncio.Task[AttemptOutcome] | None = None
 
+    @property
+    def written(self) -> bool:
+        """Tell whether the upstream may have been sent anything."""
+        return self.written_ms is not None
+
     def cancel(self) -> None:
         """Stop the attempt; a written one loses its connection."""
         if self.task is not None:
@@ -69,7 +79,7 @@
         on_end: Callable[[AttemptOutcome], None],
     ) -> Sending:
         """Start an attempt; `on_end` gets its outcome, also when it is cancelled."""
-        sending = Sending(action)
+        sending = Sending(action, self._clock.now_ms())
         self._open.add(sending)
         loop = asyncio.get_running_loop()
         sending.task = loop.create_task(self._run(request, sending))
@@ -86,6 +96,11 @@
         pool = self._pool_by_upstream.get(upstream.upstream)
         return pool is None or not pool.connector.open
 
+    def state_of(self, upstream: Registration) -> ConnectionState:
+        """Return what an attempt at an upstream would have to wait for now."""
+        pool = self._pool_by_upstream.get(upstream.upstream)
+        return ConnectionState.CLOSED if pool is None else pool.connector.state
+
     def warm_up(self, upstream: Registration) -> None:
         """Open one connection to an upstream, soon."""
         pool = self._pool_for(upstream)
@@ -121,9 +136,10 @@
         pool = self._pool_for(action.upstream)
 
         def allow() -> CIMultiDict[str]:
-            left_ms = action.deadline_ms - self._clock.now_ms()
+            now_ms = self._clock.now_ms()
+            left_ms = action.deadline_ms - now_ms
             headers = self._codec.headers(request, action.upstream, left_ms)
-            sending.written = True
+            sending.written_ms = now_ms
             return headers
 
         def is_own(headers: Mapping[str, str]) -> bool:
@@ -149,7 +165,9 @@
     ) -> AttemptOutcome:
         outcome = _outcome_of(task, sending)
         self.counts[f"attempts_{outcome.end.value}"] += 1
-        return outcome
+        if sending.written_ms is None:
+            return outcome
+        return outcome._replace(connecting_ms=sending.written_ms - sending.asked_ms)
 
     def _pool_for(self, upstream: Registration) -> UpstreamPool:
         pool = self._pool_by_upstream.get(upstream.upstream)
--- a/burdockmill/forwarding/data_path.py
+++ b/burdockmill/forwarding/data_path.py
@@ -59,6 +59,7 @@
             settings.region_by_domain,
             self.observations,
             world.catalog.leaves_ms_by_upstream,
+            self.client.state_of,
         )
         self._planner = Planner(
             self._replicas_of, choice, self.budget, self.observations
--- a/burdockmill/forwarding/failures.py
+++ b/burdockmill/forwarding/failures.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from burdockmill.forwarding.messages import UpstreamAnswer
     from burdockmill.forwarding.part_run import PartRun
 
 
@@ -36,6 +37,24 @@
     )
 
 
+def lost_answer(
+    part: PartRun, left_ms: float
+) -> tuple[UpstreamAnswer | BurdockmillError, str]:
+    """Return the answer to a request whose only part is lost, and why it is so.
+
+    `left_ms` is the time the client has left, in milliseconds.
+    """
+    failure = part.failure()
+    if failure is not None:
+        return failure, "an upstream failed"
+    if part.possible_runs:
+        error = UpstreamFailedError(
+            f"The upstream's answer was lost: {part.lost}.", ran=Ran.UNKNOWN
+        )
+        return error, part.lost
+    return refusal([part], left_ms), "no upstream took it"
+
+
 def uncovered(lost: Iterable[PartRun]) -> BurdockmillError:
     """Return the failure of a search that too few shards can answer."""
     names = ", ".join(f"{part.service} ({part.lost})" for part in lost)
--- a/burdockmill/forwarding/forwarder.py
+++ b/burdockmill/forwarding/forwarder.py
@@ -116,6 +116,7 @@
         )
         self._sending_by_attempt: dict[int, Sending] = {}
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_due_ms = 0.0
 
     async def run(self) -> Result | BurdockmillError:
         """Return the result once the run concludes."""
@@ -166,7 +167,9 @@
             # Withdrawn before it was written: this says nothing of the upstream.
             observations.of(action.upstream.upstream).dropped(key)
         else:
-            took_ms = observations.of(action.upstream.upstream).ended(key, end, now_ms)
+            took_ms = observations.of(action.upstream.upstream).ended(
+                key, end, now_ms, outcome.connecting_ms
+            )
             answers = end in (AttemptEnd.ANSWERED, AttemptEnd.SILENT)
             if took_ms is not None and answers:
                 forwarder.planner.learn_latency(
@@ -195,11 +198,17 @@
             self._done.set_result(action.result)
 
     def _set_timer(self, now_ms: float) -> None:
-        self._stop_timer()
         due_ms = self._run.next_due_ms
-        if due_ms is not None:
-            wait_s = max(0.0, due_ms - now_ms) / MILLISECONDS_PER_SECOND
-            self._timer = self._loop.call_later(wait_s, self._tick)
+        if due_ms is None:
+            self._stop_timer()
+            return
+        if self._timer is not None and self._timer_due_ms <= due_ms:
+            # It fires too soon and is set again then, which is cheaper than each time.
+            return
+        self._stop_timer()
+        wait_s = max(0.0, due_ms - now_ms) / MILLISECONDS_PER_SECOND
+        self._timer = self._loop.call_later(wait_s, self._tick)
+        self._timer_due_ms = due_ms
 
     def _tick(self) -> None:
         self._timer = None
--- /dev/null
+++ b/burdockmill/forwarding/hedge_queue.py
@@ -0,0 +1,48 @@
+"""Keep when the parts of one request are due for a hedge."""
+
+from __future__ import annotations
+
+import heapq
+import math
+from itertools import count
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from burdockmill.forwarding.part_run import PartRun
+
+    # The second value orders what is due at the same time.
+    _Entry = tuple[float, int, PartRun]
+
+
+class HedgeQueue:
+    """Order parts by `hedge_ms`; a part that changed it or is settled drops out."""
+
+    def __init__(self) -> None:
+        self._entries: list[_Entry] = []
+        self._order = count()
+
+    @property
+    def next_ms(self) -> float:
+        """Return when the next part is due, in clock milliseconds, or infinity."""
+        entries = self._entries
+        while entries and not _is_current(entries[0]):
+            heapq.heappop(entries)
+        return entries[0][0] if entries else math.inf
+
+    def schedule(self, part: PartRun, at_ms: float) -> None:
+        """Let a part be due at a clock time instead of what was scheduled before."""
+        part.hedge_ms = at_ms
+        heapq.heappush(self._entries, (at_ms, next(self._order), part))
+
+    def take(self, now_ms: float) -> Iterator[PartRun]:
+        """Yield the parts that are due."""
+        while self.next_ms <= now_ms:
+            _, _, part = heapq.heappop(self._entries)
+            yield part
+
+
+def _is_current(entry: _Entry) -> bool:
+    at_ms, _, part = entry
+    return part.hedge_ms == at_ms and not part.settled
--- a/burdockmill/forwarding/messages.py
+++ b/burdockmill/forwarding/messages.py
@@ -94,11 +94,23 @@
 
 
 class AttemptOutcome(NamedTuple):
-    """State how an attempt ended; `detail` is for logs."""
+    """State how an attempt ended; `detail` is for logs.
+
+    `connecting_ms` passed before the attempt had a connection, in milliseconds.
+    """
 
     end: AttemptEnd
     answer: UpstreamAnswer | None = None
     detail: str = ""
+    connecting_ms: float = 0.0
+
+
+class ConnectionState(StrEnum):
+    """State what an attempt at an upstream has to wait for before it is written."""
+
+    IDLE = "idle"
+    CLOSED = "closed"
+    BUSY = "busy"
 
 
 class MergedAnswer(NamedTuple):
--- a/burdockmill/forwarding/observations.py
+++ b/burdockmill/forwarding/observations.py
@@ -14,9 +14,17 @@
 
 # A newer latency counts a quarter, so that some five answers outweigh the past.
 LATENCY_WEIGHT = 0.25
-FAILURE_WEIGHT = 0.25
-# What was learnt fades by half in this time, so that a slow upstream is tried again.
-FADE_HALF_MS = 2_500.0
+FAILURE_WEIGHT = 0.4
+# A single answer counts as at most this much, since a pause delays one of them only.
+OUTLIER_FACTOR = 4.0
+OUTLIER_EXTRA_MS = 20.0
+# What was learnt counts in full for this long, since a host with little traffic asks
+# an upstream twice a second only; then it fades by half in the second time, so that an
+# upstream that was slow is tried again.
+HOLD_MS = 3_000.0
+FADE_HALF_MS = 2_000.0
+# A nearer upstream that is passed over is tested this often.
+STALE_MS = 1_200.0
 # An upstream that fails in a row is avoided this long at first, then twice as long.
 AVOID_FIRST_MS = 400.0
 AVOID_LONGEST_MS = 3_200.0
@@ -78,6 +86,14 @@
         """Tell whether one attempt may show if a suspect is sound again."""
         return self.suspect and now_ms >= self.avoided_until_ms and not self.probing
 
+    def is_stale(self, now_ms: float) -> bool:
+        """Tell whether what was learnt is so old that a copy should test it."""
+        return not (
+            self.suspect
+            or self.open_since_ms_by_attempt
+            or now_ms - self.changed_ms < STALE_MS
+        )
+
     def started(self, attempt: int, now_ms: float) -> None:
         """Note an attempt under way."""
         self.probing = self.suspect
@@ -90,19 +106,24 @@
 
     def faded(self, now_ms: float) -> float:
         """Return how much of what was learnt still counts, from 1 down to 0."""
-        return 0.5 ** (max(0.0, now_ms - self.changed_ms) / FADE_HALF_MS)
+        return 0.5 ** (max(0.0, now_ms - self.changed_ms - HOLD_MS) / FADE_HALF_MS)
 
     def dropped(self, attempt: int) -> None:
         """Forget an attempt that was withdrawn before it was sent."""
         self.open_since_ms_by_attempt.pop(attempt, None)
         self.probing = False
 
-    def ended(self, attempt: int, end: AttemptEnd, now_ms: float) -> float | None:
-        """Note how an attempt ended; return how long it took, in milliseconds."""
+    def ended(
+        self, attempt: int, end: AttemptEnd, now_ms: float, connecting_ms: float = 0.0
+    ) -> float | None:
+        """Note how an attempt ended; return how long it took, in milliseconds.
+
+        `connecting_ms` passed before it had a connection and tells of no upstream.
+        """
         since_ms = self.open_since_ms_by_attempt.pop(attempt, None)
         if since_ms is None:
             return None
-        took_ms = now_ms - since_ms
+        took_ms = now_ms - since_ms - connecting_ms
         self.probing = False
         if end is AttemptEnd.ANSWERED:
             self._learn_latency(took_ms, now_ms)
@@ -133,7 +154,8 @@
             self.latency_ms = took_ms
         else:
             weight = max(LATENCY_WEIGHT, 1.0 - self.faded(now_ms))
-            self.latency_ms += weight * (took_ms - self.latency_ms)
+            most_ms = OUTLIER_FACTOR * self.latency_ms + OUTLIER_EXTRA_MS
+            self.latency_ms += weight * (min(took_ms, most_ms) - self.latency_ms)
         self.changed_ms = now_ms
 
     def _learn_failure(self, end: AttemptEnd, now_ms: float) -> None:
--- a/burdockmill/forwarding/part_run.py
+++ b/burdockmill/forwarding/part_run.py
@@ -16,13 +16,30 @@
 
 
 class AttemptRow:
-    """Describe an attempt; `outcome` is None while it is under way."""
-
-    __slots__ = ("kind", "number", "outcome", "sent_ms", "took_ms", "upstream")
+    """Describe an attempt; `outcome` is None while it is under way.
+
+    `is_paid` tells that the repeat budget was charged for it.
+    """
+
+    __slots__ = (
+        "is_paid",
+        "kind",
+        "number",
+        "outcome",
+        "sent_ms",
+        "took_ms",
+        "upstream",
+    )
 
     def __init__(
-        self, number: int, upstream: Registration, kind: AttemptKind, sent_ms: float
+        self,
+        number: int,
+        upstream: Registration,
+        kind: AttemptKind,
+        sent_ms: float,
+        is_paid: bool,
     ) -> None:
+        self.is_paid = is_paid
         self.number = number
         self.upstream = upstream
         self.kind = kind
@@ -57,6 +74,14 @@
             for row in self.attempts
         )
 
+    @property
+    def may_have_arrived(self) -> bool:
+        """Tell whether an upstream may have seen the part, so that more is a repeat."""
+        return any(
+            row.outcome is None or row.outcome.end is not AttemptEnd.NOT_SENT
+            for row in self.attempts
+        )
+
     @property
     def under_way(self) -> list[AttemptRow]:
         """Return the attempts that have not ended."""
--- a/burdockmill/forwarding/planner.py
+++ b/burdockmill/forwarding/planner.py
@@ -58,11 +58,22 @@
     def to_probe(
         self, service: ServiceId, chosen: UpstreamId, now_ms: float
     ) -> Registration | None:
-        """Return a suspect upstream that a copy of a request may test, if any."""
-        for replica in self._replicas_of(service):
-            if replica.draining or replica.upstream == chosen:
+        """Return an upstream passed over that a copy of a request may test, if any.
+
+        Those that showed an outage come first, then those that are nearer than the
+        chosen one and have not been asked for a while.
+        """
+        replicas = [one for one in self._replicas_of(service) if not one.draining]
+        own_ms = None
+        for replica in replicas:
+            if replica.upstream == chosen:
+                own_ms = self._choice.prior_ms(replica)
+            elif self.observations.of(replica.upstream).may_probe(now_ms):
+                return replica
+        for replica in replicas:
+            if own_ms is None or self._choice.prior_ms(replica) >= own_ms:
                 continue
-            if self.observations.of(replica.upstream).may_probe(now_ms):
+            if self.observations.of(replica.upstream).is_stale(now_ms):
                 return replica
         return None
 
--- a/burdockmill/forwarding/request_run.py
+++ b/burdockmill/forwarding/request_run.py
@@ -7,7 +7,6 @@
 from burdockmill.errors import (
     DeadlineExceededError,
     Ran,
-    UpstreamFailedError,
 )
 from burdockmill.forwarding.actions import (
     Conclude,
@@ -15,7 +14,8 @@
     SendAttempt,
     WithdrawAttempt,
 )
-from burdockmill.forwarding.failures import refusal, uncovered
+from burdockmill.forwarding.failures import lost_answer, refusal, uncovered
+from burdockmill.forwarding.hedge_queue import HedgeQueue
 from burdockmill.forwarding.messages import (
     AttemptEnd,
     AttemptKind,
@@ -63,6 +63,9 @@
         self._planner = planner
         self._merge = merge
         self._row_by_attempt: dict[int, tuple[PartRun, AttemptRow]] = {}
+        self._hedges = HedgeQueue()
+        self._covered = 0
+        self._lost: list[PartRun] = []
         self._times = answer_times(
             request.received_ms,
             request.spent_ms,
@@ -77,10 +80,7 @@
         """Return when `tick` has something to do, in clock milliseconds."""
         if self.concluded:
             return None
-        due_ms = self._times.final_ms
-        for part in self.parts:
-            if part.hedge_ms is not None and not part.settled:
-                due_ms = min(due_ms, part.hedge_ms)
+        due_ms = min(self._times.final_ms, self._hedges.next_ms)
         if self.route.shards is not None and not self._is_past_partial:
             due_ms = min(due_ms, self._times.partial_ms)
         return due_ms
@@ -110,10 +110,13 @@
         row.outcome = outcome
         row.took_ms = now_ms - row.sent_ms
         actions: list[RunAction] = []
+        if row.is_paid and outcome.end is AttemptEnd.NOT_SENT:
+            self._planner.budget.refund(part.service)
         if self.concluded or part.settled:
             return actions
         if outcome.end is AttemptEnd.ANSWERED:
             part.answer = outcome.answer
+            self._covered += 1
             actions.extend(WithdrawAttempt(row.number) for row in part.under_way)
         else:
             self._after_failure(part, now_ms, actions)
@@ -127,10 +130,8 @@
             return actions
         if now_ms >= self._times.partial_ms:
             self._is_past_partial = True
-        for part in self.parts:
-            is_due = part.hedge_ms is not None and part.hedge_ms <= now_ms
-            if is_due and not part.settled:
-                self._hedge(part, now_ms, actions)
+        for part in self._hedges.take(now_ms):
+            self._hedge(part, now_ms, actions)
         self._settle(now_ms, actions)
         return actions
 
@@ -148,21 +149,21 @@
         )
         if choice is None:
             if not part.attempts:
-                part.lost = "no upstream is registered"
+                self._lose(part, "no upstream is registered")
             return False
         if kind is AttemptKind.HEDGE and choice.expected_ms >= HOPELESS_MS:
             return False
-        is_repeat = kind is not AttemptKind.FIRST
+        is_repeat = part.may_have_arrived
         if is_repeat and not self._planner.may_repeat(part.service, kind, now_ms):
             return False
-        self._add(part, choice.upstream, kind, now_ms, actions)
+        self._add(part, choice.upstream, kind, now_ms, actions, is_paid=is_repeat)
         if kind is AttemptKind.FIRST and route.is_idempotent:
             self._probe(part, choice.upstream, now_ms, actions)
         part.hedge_ms = None
         if self._may_run_again(part) and choice.alternative_ms is not None:
             left_ms = self._goal_ms - now_ms
             delay_ms = self._planner.hedge_delay_ms(route, choice, left_ms)
-            part.hedge_ms = now_ms + delay_ms
+            self._hedges.schedule(part, now_ms + delay_ms)
         return True
 
     def _add(
@@ -172,9 +173,10 @@
         kind: AttemptKind,
         now_ms: float,
         actions: list[RunAction],
+        is_paid: bool,
     ) -> None:
         number = len(self._row_by_attempt)
-        row = AttemptRow(number, upstream, kind, now_ms)
+        row = AttemptRow(number, upstream, kind, now_ms, is_paid)
         part.attempts.append(row)
         self._row_by_attempt[number] = (part, row)
         deadline_ms = min(
@@ -195,14 +197,15 @@
         if suspect is None:
             return
         if self._planner.may_repeat(part.service, AttemptKind.PROBE, now_ms):
-            self._add(part, suspect, AttemptKind.PROBE, now_ms, actions)
+            kind = AttemptKind.PROBE
+            self._add(part, suspect, kind, now_ms, actions, is_paid=True)
 
     def _hedge(self, part: PartRun, now_ms: float, actions: list[RunAction]) -> None:
         part.hedge_ms = None
         if not self._may_run_again(part) or self._is_too_late(now_ms):
             return
         if not self._send(part, AttemptKind.HEDGE, now_ms, actions):
-            part.hedge_ms = now_ms + HEDGE_RETRY_MS
+            self._hedges.schedule(part, now_ms + HEDGE_RETRY_MS)
 
     def _after_failure(
         self, part: PartRun, now_ms: float, actions: list[RunAction]
@@ -212,7 +215,11 @@
             return
         if not part.under_way:
             end = part.last_end()
-            part.lost = "no attempt was sent" if end is None else end.value
+            self._lose(part, "no attempt was sent" if end is None else end.value)
+
+    def _lose(self, part: PartRun, reason: str) -> None:
+        part.lost = reason
+        self._lost.append(part)
 
     def _may_run_again(self, part: PartRun) -> bool:
         runs = part.possible_runs
@@ -235,7 +242,8 @@
         if part.answer is not None:
             actions.append(self._conclude(part.answer, "answered"))
         elif part.lost:
-            actions.append(self._conclude_lost(part, now_ms))
+            left_ms = self._times.final_ms - now_ms
+            actions.append(self._conclude(*lost_answer(part, left_ms)))
         elif now_ms >= self._times.final_ms:
             failure = part.failure()
             if failure is not None:
@@ -245,25 +253,12 @@
                 error = DeadlineExceededError("No upstream answered in time.", ran=ran)
                 actions.append(self._conclude(error, "deadline"))
 
-    def _conclude_lost(self, part: PartRun, now_ms: float) -> Conclude:
-        failure = part.failure()
-        if failure is not None:
-            return self._conclude(failure, "an upstream failed")
-        if part.possible_runs:
-            error: BurdockmillError = UpstreamFailedError(
-                f"The upstream's answer was lost: {part.lost}.", ran=Ran.UNKNOWN
-            )
-            return self._conclude(error, part.lost)
-        return self._conclude(
-            refusal([part], self._times.final_ms - now_ms), "no upstream took it"
-        )
-
     def _settle_search(self, now_ms: float, actions: list[RunAction]) -> None:
         shards = self.route.shards
         assert shards is not None
         total = len(self.parts)
-        covered = sum(part.answer is not None for part in self.parts)
-        lost = [part for part in self.parts if part.lost]
+        covered = self._covered
+        lost = self._lost
         enough = is_enough(covered, total, shards.least_coverage)
         if covered == total:
             actions.append(self._conclude_merged("complete"))
--- a/burdockmill/policies/repeat_budget.py
+++ b/burdockmill/policies/repeat_budget.py
@@ -88,6 +88,12 @@
         self._spending_by_service[service].repeats_ms.append(now_ms)
         return True
 
+    def refund(self, service: ServiceId) -> None:
+        """Take back the latest repeat that was paid for and never sent."""
+        spending = self._spending_by_service.get(service)
+        if spending is not None and spending.repeats_ms:
+            spending.repeats_ms.pop()
+
     def left(self, service: ServiceId, now_ms: float, usable: float = 1.0) -> float:
         """Return how many repeats a part of the bound still allows."""
         spending = self._spending_by_service.setdefault(service, _Spending())
--- a/burdockmill/policies/replica_choice.py
+++ b/burdockmill/policies/replica_choice.py
@@ -9,8 +9,10 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, NamedTuple
 
+from burdockmill.forwarding.messages import ConnectionState
+
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Mapping
+    from collections.abc import Callable, Collection, Iterable, Mapping
 
     from burdockmill.forwarding.messages import Registration
     from burdockmill.forwarding.observations import Observation, Observations
@@ -24,6 +26,9 @@
 FAILURE_COST_MS = 120.0
 # Cold upstreams take about this many times as long.
 COLD_FACTOR = 1.6
+# A new connection takes a round trip and the upstream's handshake first.
+CONNECT_NEAR_MS = 8.0
+CONNECT_FAR_MS = 36.0
 # Silence beyond this multiple of the expected time shows a pause or worse.
 STALL_FACTOR = 2.0
 STALL_FLOOR_MS = 10.0
@@ -52,6 +57,10 @@
     ) -> list[Candidate]:
         """Return the usable upstreams, best first."""
 
+    @abstractmethod
+    def prior_ms(self, replica: Registration) -> float:
+        """Return the time expected of an upstream that has not answered yet."""
+
     @abstractmethod
     def is_near(self, replica: Registration) -> bool:
         """Tell whether an upstream is in this host's region."""
@@ -66,11 +75,16 @@
         region_by_domain: Mapping[DomainId, str],
         observations: Observations,
         departing: Mapping[UpstreamId, float],
+        state_of: Callable[[Registration], ConnectionState],
     ) -> None:
         self._domain = domain
-        self._region_by_domain = region_by_domain
+        own = region_by_domain.get(domain, domain)
+        self._near_domains = {
+            other for other, region in region_by_domain.items() if region == own
+        } | {domain}
         self._observations = observations
         self._departing = departing
+        self._state_of = state_of
 
     def rank(
         self,
@@ -97,16 +111,14 @@
 
     def is_near(self, replica: Registration) -> bool:
         """Tell whether an upstream is in this host's region."""
-        regions = self._region_by_domain
-        own = regions.get(self._domain, self._domain)
-        return regions.get(replica.domain, replica.domain) == own
+        return replica.domain in self._near_domains
 
     def _expected_ms(
         self, replica: Registration, is_idempotent: bool, now_ms: float
     ) -> float:
         seen = self._observations.of(replica.upstream)
         base_ms = self._base_ms(replica, seen, now_ms)
-        expected_ms = base_ms
+        expected_ms = base_ms + self._connecting_ms(replica, base_ms)
         under_way = len(seen.open_since_ms_by_attempt)
         if under_way:
             expected_ms += base_ms * under_way / (2.0 * max(1, replica.slots))
@@ -121,6 +133,15 @@
             expected_ms += DEPARTING_MS
         return expected_ms
 
+    def _connecting_ms(self, replica: Registration, base_ms: float) -> float:
+        """Return the time until an attempt has a connection, in milliseconds."""
+        match self._state_of(replica):
+            case ConnectionState.IDLE:
+                return 0.0
+            case ConnectionState.BUSY:
+                return base_ms
+        return CONNECT_NEAR_MS if self.is_near(replica) else CONNECT_FAR_MS
+
     def _base_ms(
         self, replica: Registration, seen: Observation, now_ms: float
     ) -> float:
--- a/tests/builders_forwarding.py
+++ b/tests/builders_forwarding.py
@@ -9,6 +9,7 @@
 from burdockmill.forwarding.messages import (
     AttemptEnd,
     AttemptOutcome,
+    ConnectionState,
     ForwardedRequest,
     Registration,
     UpstreamAnswer,
@@ -113,10 +114,24 @@
     return AttemptOutcome(AttemptEnd.UPSTREAM_ERROR, answer)
 
 
-def make_planner(replicas=replicas_of, domain="waw-a", limits=LIMITS, departing=None):
+def always_idle(registration):
+    return ConnectionState.IDLE
+
+
+def make_planner(
+    replicas=replicas_of,
+    domain="waw-a",
+    limits=LIMITS,
+    departing=None,
+    state_of=always_idle,
+):
     observations = Observations()
     choice = ExpectedLatencyChoice(
-        domain, REGIONS, observations, {} if departing is None else departing
+        domain,
+        REGIONS,
+        observations,
+        {} if departing is None else departing,
+        state_of,
     )
     budget = RepeatBudget(limits)
     budget.share_among(1, 0.0)
--- a/tests/test_forwarding_client.py
+++ b/tests/test_forwarding_client.py
@@ -9,7 +9,11 @@
 from burdockmill.clients.forwarding_client import ForwardingClient
 from burdockmill.clock import MonotonicClock
 from burdockmill.forwarding.actions import SendAttempt
-from burdockmill.forwarding.messages import AttemptEnd, AttemptKind
+from burdockmill.forwarding.messages import (
+    AttemptEnd,
+    AttemptKind,
+    ConnectionState,
+)
 from burdockmill.platform.upstream_codec import PlatformUpstreamCodec
 from tests.builders_forwarding import make_registration, make_request
 from tests.builders_platform import StandinUpstream
@@ -82,6 +86,40 @@
     assert upstream.connections == 1
 
 
+async def test_an_idle_connection_that_the_upstream_closed_counts_as_closed(
+    upstream, caller
+):
+    async def close_once_idle(upstream, request, writer):
+        writer.write(upstream.answer(request))
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        return True
+
+    upstream.script = close_once_idle
+    registration = make_registration(upstream.upstream, address=upstream.address)
+    assert caller.client.state_of(registration) is ConnectionState.CLOSED
+    await caller.send()
+    assert caller.client.state_of(registration) is ConnectionState.IDLE
+    async with asyncio.timeout(5):
+        while caller.client.state_of(registration) is ConnectionState.IDLE:
+            await asyncio.sleep(0.005)
+    assert caller.client.is_cold(registration)
+
+
+async def test_a_connection_in_use_at_the_limit_counts_as_busy(upstream):
+    upstream.delay_s = 0.1
+    caller = Caller(upstream, limit=1)
+    registration = make_registration(upstream.upstream, address=upstream.address)
+    sending = asyncio.ensure_future(caller.send())
+    async with asyncio.timeout(5):
+        while caller.client.state_of(registration) is not ConnectionState.BUSY:
+            await asyncio.sleep(0.005)
+    outcome = await sending
+    assert outcome.connecting_ms < 100.0
+    assert caller.client.state_of(registration) is ConnectionState.IDLE
+    await caller.client.close()
+
+
 async def test_another_owner_of_the_address_runs_nothing(upstream, caller):
     upstream.upstream, name = "u-2", upstream.upstream
     registration_name = name
--- a/tests/test_forwarding_policies.py
+++ b/tests/test_forwarding_policies.py
@@ -5,13 +5,18 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from burdockmill.forwarding.messages import AttemptEnd, AttemptKind, AttemptOutcome
+from burdockmill.forwarding.messages import (
+    AttemptEnd,
+    AttemptKind,
+    AttemptOutcome,
+    ConnectionState,
+)
 from burdockmill.forwarding.observations import Observation
 from burdockmill.policies.answer_timing import answer_times, is_enough
 from burdockmill.policies.connection_share import connection_share
 from burdockmill.policies.departure_grace import RETURN_MS, departure_grace_ms
 from burdockmill.policies.hedge_timing import hedge_delay_ms
-from burdockmill.policies.repeat_budget import RepeatBudget
+from burdockmill.policies.repeat_budget import RepeatBudget, RepeatLimits
 from burdockmill.policies.return_time import return_after_ms
 from burdockmill.policies.warm_targets import warm_targets
 from burdockmill.tables.latency_histogram import LatencyHistogram
@@ -258,3 +263,76 @@
 
 def test_domains_are_those_of_the_replay():
     assert set(PATH_MS) == set(DOMAINS)
+
+
+def make_thin_replay(trouble, seed):
+    """Replay one of 79 hosts: two searches of 36 shards a second, regions 20 ms off."""
+    far_ms = {"waw-a": 0.5, "krk-a": 20.0, "gda-a": 20.0}
+    route = make_route(shards=36, latency_goal_ms=168.0, attempts_limit=3)
+    route = route._replace(shards=route.shards._replace(least_coverage=0.95))
+    rng = random.Random(seed)
+    upstreams = upstreams_of(route)
+    for one in upstreams:
+        one.path_ms = far_ms[one.registration.domain]
+        one.pauses = pauses(rng, every_ms=4_500.0, pause_ms=200.0)
+    for one in rng.sample(upstreams, round(0.15 * len(upstreams))):
+        trouble(one, random.Random(rng.random()))
+    planner = make_planner(limits=RepeatLimits(0.2, 198.0, 10_000.0))
+    planner.budget.share_among(79, -20_000.0)
+    planner.budget.earn("shard-0", -20_000.0)
+    return LoadReplay(route, upstreams, planner, seed).run(1.9, 8_000.0)
+
+
+def test_upstreams_that_fail_half_of_their_requests_are_left_where_traffic_is_thin():
+    def fails_half(upstream, rng):
+        broken = AttemptOutcome(AttemptEnd.BROKEN)
+        upstream.outcome = lambda arrival: broken if rng.random() < 0.49 else None
+
+    replays = [make_thin_replay(fails_half, seed) for seed in range(8)]
+    assert sum(one.in_time() for one in replays) / len(replays) >= 0.97
+
+
+def test_one_pause_does_not_send_a_shard_to_another_region():
+    seen = Observation()
+    for number in range(20):
+        seen.started(number, 500.0 * number)
+        seen.ended(number, AttemptEnd.ANSWERED, 500.0 * number + 12.0)
+    seen.started(20, 10_000.0)
+    seen.ended(20, AttemptEnd.ANSWERED, 10_212.0)
+    assert seen.latency_ms < 36.0
+    for number in range(21, 24):
+        seen.started(number, 500.0 * number)
+        seen.ended(number, AttemptEnd.ANSWERED, 500.0 * number + 110.0)
+    assert seen.latency_ms > 45.0
+
+
+def test_time_for_a_connection_is_not_held_against_an_upstream():
+    seen = Observation()
+    seen.started(1, 0.0)
+    assert seen.ended(1, AttemptEnd.ANSWERED, 97.0, connecting_ms=46.0) == 51.0
+    assert seen.latency_ms == 51.0
+
+
+def test_an_upstream_with_an_idle_connection_is_hedged_to_rather_than_a_closed_one():
+    states = {
+        "shard-0@waw-a": ConnectionState.IDLE,
+        "shard-0@krk-a": ConnectionState.CLOSED,
+        "shard-0@gda-a": ConnectionState.IDLE,
+    }
+    planner = make_planner(state_of=lambda one: states[one.upstream])
+    planner.observations.of("shard-0@gda-a").latency_ms = 52.0
+    ranked = planner.rank_for_search("shard-0", 0.0)
+    assert [one.registration.domain for one in ranked] == ["waw-a", "gda-a", "krk-a"]
+    states["shard-0@waw-a"] = ConnectionState.BUSY
+    busy = planner.rank_for_search("shard-0", 0.0)
+    assert busy[0].expected_ms > ranked[0].expected_ms
+
+
+def test_a_nearer_upstream_that_is_passed_over_is_tested_by_a_copy():
+    planner = make_planner()
+    near, far = planner.observations.of("shard-0@waw-a"), "shard-0@krk-a"
+    near.latency_ms, near.changed_ms = 300.0, 1_000.0
+    assert planner.to_probe("shard-0", far, 2_000.0) is None
+    assert planner.to_probe("shard-0", far, 2_300.0).upstream == "shard-0@waw-a"
+    near.started(1, 2_300.0)
+    assert planner.to_probe("shard-0", far, 2_400.0) is None
--- a/tests/test_request_run.py
+++ b/tests/test_request_run.py
@@ -213,3 +213,24 @@
     run.end(1, answered(record(2), "b"), 7.0)
     assert isinstance(run.result, MergedAnswer)
     assert run.result.stamps == ("a", "b", "c")
+
+
+def test_a_repeat_that_was_never_sent_is_not_charged():
+    run = Run()
+    run.answer_all_but({3}, 12.0)
+    run.tick(run.run.next_due_ms)
+    first, hedge = run.attempts_of(3)
+    budget = run.planner.budget
+    charged = budget.left("shard-3", 40.0)
+    run.end(first.attempt, answered(record(4)), 40.0)
+    run.end(hedge.attempt, NOT_SENT, 40.0)
+    assert budget.left("shard-3", 40.0) == charged + 1.0
+
+
+def test_a_retry_of_what_was_never_sent_is_no_repeat():
+    run = Run()
+    budget = run.planner.budget
+    before = budget.left("shard-3", 1.0)
+    run.end(run.attempts_of(3)[0].attempt, NOT_SENT, 1.0)
+    assert run.attempts_of(3)[1].kind is AttemptKind.RETRY
+    assert budget.left("shard-3", 1.0) == before
