Spread hedges, warm shards before they are named, ask a silent store again soon

A host that starts while the store is silent waited 1.5 s a call and up to 1 s between calls.

Change: the allowance is halved in the first window of the process; a host's own ratio counts to 0.95, the shared allowance stays at 0.8; far replicas differ a little by host and upstream; connections are opened to registered services that no route names yet, in rounds with jitter; a stated idle limit holds for new connections of the same upstream; without a catalog a call to the store may take 600 ms and the wait after it 200 ms.

Ruled out: more connections an upstream, which the cap forbids at 84 hosts.

--- a/burdockmill/clients/catalog_reader.py
+++ b/burdockmill/clients/catalog_reader.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from loguru import logger
 
@@ -33,10 +33,22 @@
 GATHER_MS = 250.0
 DUTY_CHECK_MS = 100.0
 RETRY_FIRST_MS = 100.0
-RETRY_LONGEST_MS = 1_000.0
 MILLISECONDS_PER_SECOND = 1_000.0
 
 
+class Patience(NamedTuple):
+    """Bound one call to the store, and the wait after a failed one, in milliseconds."""
+
+    read_limit_ms: float
+    retry_longest_ms: float
+
+
+# The store answers within some hundred milliseconds even when it is slow.
+USUAL = Patience(read_limit_ms=1_500.0, retry_longest_ms=1_000.0)
+# A host that knows no catalog serves nobody, so it asks again soon.
+WITHOUT_CATALOG = Patience(read_limit_ms=600.0, retry_longest_ms=200.0)
+
+
 class CatalogReader:
     """Read the catalog while this host's duty asks for it."""
 
@@ -75,18 +87,22 @@
             except StoreError as error:
                 self._note_failure(error)
                 await _sleep(retry_ms * self._rng.uniform(0.5, 1.5))
-                retry_ms = min(RETRY_LONGEST_MS, 2.0 * retry_ms)
+                retry_ms = min(self._patience.retry_longest_ms, 2.0 * retry_ms)
                 continue
             retry_ms = RETRY_FIRST_MS
             await _sleep(gather_ms)
 
+    @property
+    def _patience(self) -> Patience:
+        return WITHOUT_CATALOG if self._world.catalog.tables is None else USUAL
+
     async def _step(self) -> float:
         """Read or watch once; return how long to wait, in milliseconds."""
         catalog = self._world.catalog
         asked_ms = self._clock.now_ms()
         after = max(catalog.revision, self._watched)
         if self._must_read_all or not after:
-            delta = await self._source.read_all()
+            delta = await self._source.read_all(self._patience.read_limit_ms)
             self._must_read_all = False
         else:
             try:
--- a/burdockmill/clients/catalog_source.py
+++ b/burdockmill/clients/catalog_source.py
@@ -25,8 +25,8 @@
     counts: Counter[str]
 
     @abstractmethod
-    async def read_all(self) -> CatalogDelta:
-        """Return the whole catalog; raise StoreError."""
+    async def read_all(self, limit_ms: float) -> CatalogDelta:
+        """Return the whole catalog, each call within a limit; raise StoreError."""
 
     @abstractmethod
     async def watch(self, after: Revision, wait_ms: int) -> CatalogDelta:
--- a/burdockmill/clients/connection_warmer.py
+++ b/burdockmill/clients/connection_warmer.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Callable, Iterable
 
     from burdockmill.clients.forwarding_client import ForwardingClient
@@ -15,6 +16,8 @@
 # processor have time for requests.
 PACE_S = 0.01
 ROUND_S = 1.0
+# Hosts that learn of new upstreams at the same moment do not all connect then.
+ROUND_JITTER_FRACTION = 0.5
 
 
 class ConnectionWarmer:
@@ -24,9 +27,11 @@
         self,
         client: ForwardingClient,
         targets: Callable[[], Iterable[Registration]],
+        rng: random.Random,
     ) -> None:
         self._client = client
         self._targets = targets
+        self._rng = rng
 
     async def run(self) -> None:
         """Look again and again until cancelled."""
@@ -35,4 +40,5 @@
                 if self._client.is_cold(target):
                     self._client.warm_up(target)
                     await asyncio.sleep(PACE_S)
-            await asyncio.sleep(ROUND_S)
+            jitter = self._rng.uniform(-ROUND_JITTER_FRACTION, ROUND_JITTER_FRACTION)
+            await asyncio.sleep(ROUND_S * (1.0 + jitter))
--- a/burdockmill/clients/write_once_session.py
+++ b/burdockmill/clients/write_once_session.py
@@ -101,6 +101,7 @@
         try:
             await self._write(protocol, method, target, headers, body)
             exchanged = await self._read(protocol, is_own)
+            self._connector.learn_idle_limit(protocol.idle_limit_s)
         except BaseException:
             connection.close()
             raise
--- a/burdockmill/forwarding/data_path.py
+++ b/burdockmill/forwarding/data_path.py
@@ -50,11 +50,12 @@
         self._world = world
         self._clock = clock
         self.observations = Observations()
-        self.budget = RepeatBudget(repeat_limits(settings))
+        self.budget = RepeatBudget(repeat_limits(settings), clock.now_ms())
         self.client = ForwardingClient(codec, clock, self._connections)
-        self.warmer = ConnectionWarmer(self.client, self._warm_targets)
+        self.warmer = ConnectionWarmer(self.client, self._warm_targets, world.rng)
         self._choices = WeightedChoices(world.rng)
         choice = ExpectedLatencyChoice(
+            settings.host,
             settings.domain,
             settings.region_by_domain,
             self.observations,
@@ -120,6 +121,7 @@
         now_ms = self._clock.now_ms()
         return warm_targets(
             tables.routes,
+            list(self._world.catalog.upstreams_by_service),
             lambda service: self._planner.rank_for_search(service, now_ms),
         )
 
--- a/burdockmill/forwarding/planner.py
+++ b/burdockmill/forwarding/planner.py
@@ -17,6 +17,10 @@
     from burdockmill.policies.replica_choice import Candidate, ReplicaChoice
 
 
+# Upstreams of one region differ in distance by less than this.
+NEARER_FACTOR = 1.15
+
+
 class Choice(NamedTuple):
     """Hold the chosen upstream and what the next best one is expected to need."""
 
@@ -71,7 +75,8 @@
             elif self.observations.of(replica.upstream).may_probe(now_ms):
                 return replica
         for replica in replicas:
-            if own_ms is None or self._choice.prior_ms(replica) >= own_ms:
+            nearness_ms = NEARER_FACTOR * self._choice.prior_ms(replica)
+            if own_ms is None or nearness_ms >= own_ms:
                 continue
             if self.observations.of(replica.upstream).is_stale(now_ms):
                 return replica
--- a/burdockmill/platform/store_source.py
+++ b/burdockmill/platform/store_source.py
@@ -36,7 +36,7 @@
     from burdockmill.names import Address, Revision
 
 # The store answers within milliseconds, or within some hundred when it is slow.
-READ_TIMEOUT_MS = 1_500
+WATCH_MARGIN_MS = 1_500.0
 OK, NOT_FOUND, GONE = 200, 404, 410
 MILLISECONDS_PER_SECOND = 1_000
 
@@ -72,15 +72,16 @@
         self._address = address
         self._session: ClientSession | None = None
 
-    async def read_all(self) -> CatalogDelta:
-        """Return the whole catalog; raise StoreError."""
+    async def read_all(self, limit_ms: float) -> CatalogDelta:
+        """Return the whole catalog, each call within a limit; raise StoreError."""
         revision: Revision | None = None
         items: list[_Item] = []
         for prefix in (CONFIGURATION_KEY, REGISTRATIONS_PREFIX):
             after = ""
             while True:
                 query = {"prefix": prefix} | ({"after": after} if after else {})
-                page = self._decode(_RANGE_DECODER, await self._get("/kv-range", query))
+                body = await self._get("/kv-range", query, limit_ms)
+                page = self._decode(_RANGE_DECODER, body)
                 # Pages are read one after the other: what changed meanwhile is
                 # known for certain only up to the first one's revision.
                 revision = page.store_revision if revision is None else revision
@@ -94,9 +95,8 @@
     async def watch(self, after: Revision, wait_ms: int) -> CatalogDelta:
         """Return what followed a revision, empty after `wait_ms`; raise StoreError."""
         query = {"prefix": "", "after": after, "wait-ms": wait_ms}
-        told = self._decode(
-            _EVENTS_DECODER, await self._get("/kv-watch", query, wait_ms)
-        )
+        body = await self._get("/kv-watch", query, WATCH_MARGIN_MS + wait_ms)
+        told = self._decode(_EVENTS_DECODER, body)
         return self._delta(after, told.store_revision, told.events)
 
     async def close(self) -> None:
@@ -105,9 +105,9 @@
             await self._session.close()
             self._session = None
 
-    async def _get(self, path: str, query: dict[str, Any], wait_ms: int = 0) -> bytes:
+    async def _get(self, path: str, query: dict[str, Any], limit_ms: float) -> bytes:
         self.counts["calls"] += 1
-        timeout_s = (READ_TIMEOUT_MS + wait_ms) / MILLISECONDS_PER_SECOND
+        timeout_s = limit_ms / MILLISECONDS_PER_SECOND
         url = f"http://{self._address}{path}?{urlencode(query)}"
         try:
             async with asyncio.timeout(timeout_s), self._open().get(url) as response:
--- a/burdockmill/policies/repeat_budget.py
+++ b/burdockmill/policies/repeat_budget.py
@@ -15,8 +15,10 @@
 if TYPE_CHECKING:
     from burdockmill.names import ServiceId
 
+# A host's own requests are counted exactly; the rest is for clients' rounding.
+RATIO_FRACTION = 0.95
 # Head-room for hosts that this one does not know yet.
-SAFE_FRACTION = 0.8
+ALLOWANCE_FRACTION = 0.8
 # The part of the bound that each kind of repeat may use; the rest is for more
 # urgent ones.
 USABLE_BY_KIND = {
@@ -59,12 +61,12 @@
 class RepeatBudget:
     """Count requests and repeats by service over a sliding window."""
 
-    def __init__(self, limits: RepeatLimits) -> None:
+    def __init__(self, limits: RepeatLimits, started_ms: float) -> None:
         self.limits = limits
         self.hosts = 0
         self._most_hosts = 1
         self._most_until_ms = 0.0
-        self._started_ms: float | None = None
+        self._started_ms = started_ms
         self._spending_by_service: dict[ServiceId, _Spending] = {}
 
     def share_among(self, hosts: int, now_ms: float) -> None:
@@ -76,8 +78,6 @@
 
     def earn(self, service: ServiceId, now_ms: float) -> None:
         """Note a request's first attempt at a service."""
-        if self._started_ms is None:
-            self._started_ms = now_ms
         spending = self._spending_by_service.setdefault(service, _Spending())
         spending.requests_ms.append(now_ms)
 
@@ -98,13 +98,11 @@
         """Return how many repeats a part of the bound still allows."""
         spending = self._spending_by_service.setdefault(service, _Spending())
         spending.forget(now_ms - self.limits.window_ms)
-        allowance = self.limits.allowance / self._most_hosts
-        if self._started_ms is None or (
-            now_ms - self._started_ms < self.limits.window_ms
-        ):
+        allowance = ALLOWANCE_FRACTION * self.limits.allowance / self._most_hosts
+        if now_ms - self._started_ms < self.limits.window_ms:
             allowance *= START_FRACTION
-        earned = self.limits.ratio * len(spending.requests_ms)
-        bound = SAFE_FRACTION * (allowance + earned) * usable
+        earned = RATIO_FRACTION * self.limits.ratio * len(spending.requests_ms)
+        bound = (allowance + earned) * usable
         return bound - len(spending.repeats_ms)
 
     def keep(self, services: set[ServiceId]) -> None:
--- a/burdockmill/policies/replica_choice.py
+++ b/burdockmill/policies/replica_choice.py
@@ -7,8 +7,11 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from functools import lru_cache
 from typing import TYPE_CHECKING, NamedTuple
 
+from xxhash import xxh3_64_intdigest
+
 from burdockmill.forwarding.messages import ConnectionState
 
 if TYPE_CHECKING:
@@ -16,12 +19,15 @@
 
     from burdockmill.forwarding.messages import Registration
     from burdockmill.forwarding.observations import Observation, Observations
-    from burdockmill.names import DomainId, UpstreamId
+    from burdockmill.names import DomainId, HostId, UpstreamId
 
 # Expected answer times before an upstream has answered: own domain, region, others.
 LOCAL_MS = 12.0
 REGION_MS = 14.0
 FAR_MS = 45.0
+# Hosts differ by up to this much in which of two far upstreams they prefer, so that
+# they do not all connect to the same one.
+FAR_SPREAD_MS = 5.0
 # A failed attempt costs about this long until another upstream has answered.
 FAILURE_COST_MS = 120.0
 # Cold upstreams take about this many times as long.
@@ -32,6 +38,8 @@
 # Silence beyond this multiple of the expected time shows a pause or worse.
 STALL_FACTOR = 2.0
 STALL_FLOOR_MS = 10.0
+HASH_VALUES = 2**64
+PLACES_KEPT = 8_192
 # A departing upstream is the last resort but one, an avoided one the last.
 DEPARTING_MS = 1_000.0
 AVOIDED_MS = 10_000.0
@@ -71,12 +79,14 @@
 
     def __init__(
         self,
+        host: HostId,
         domain: DomainId,
         region_by_domain: Mapping[DomainId, str],
         observations: Observations,
         departing: Mapping[UpstreamId, float],
         state_of: Callable[[Registration], ConnectionState],
     ) -> None:
+        self._host = host
         self._domain = domain
         own = region_by_domain.get(domain, domain)
         self._near_domains = {
@@ -107,7 +117,9 @@
         """Return the time expected of an upstream that has not answered yet."""
         if replica.domain == self._domain:
             return LOCAL_MS
-        return REGION_MS if self.is_near(replica) else FAR_MS
+        if self.is_near(replica):
+            return REGION_MS
+        return FAR_MS + FAR_SPREAD_MS * _place(self._host, replica.upstream)
 
     def is_near(self, replica: Registration) -> bool:
         """Tell whether an upstream is in this host's region."""
@@ -152,3 +164,9 @@
             return prior_ms
         faded = seen.faded(now_ms)
         return seen.latency_ms * faded + min(prior_ms, seen.latency_ms) * (1.0 - faded)
+
+
+@lru_cache(maxsize=PLACES_KEPT)
+def _place(host: HostId, upstream: UpstreamId) -> float:
+    """Return a number from 0 to 1 that is the same for a host and an upstream."""
+    return xxh3_64_intdigest(f"{host} {upstream}".encode()) / HASH_VALUES
--- a/burdockmill/policies/warm_targets.py
+++ b/burdockmill/policies/warm_targets.py
@@ -2,7 +2,9 @@
 
 Load pattern: searches of many shards meet a paused upstream nearly every time, each
 host sends few of them, and a hedge that has to connect first pays two round trips to
-another region, most of the latency goal.
+another region, most of the latency goal. When the index is cut into another set of
+shards, all hosts turn to new upstreams at once; these register some seconds before a
+configuration names them, and connecting then leaves them free for the first searches.
 """
 
 from __future__ import annotations
@@ -24,15 +26,27 @@
 
 
 def warm_targets(
-    routes: Iterable[Route], rank: Callable[[ServiceId], list[Candidate]]
+    routes: Iterable[Route],
+    registered: Iterable[ServiceId],
+    rank: Callable[[ServiceId], list[Candidate]],
 ) -> Iterator[Registration]:
-    """Yield the upstreams of each searched shard that come first."""
-    seen: set[ServiceId] = set()
+    """Yield the upstreams of each searched shard that come first.
+
+    Those of `registered` services that no route names yet follow.
+    """
+    for service in _services(routes, registered):
+        for candidate in rank(service)[:WARM_REPLICAS]:
+            if candidate.expected_ms < WORTHWHILE_MS:
+                yield candidate.registration
+
+
+def _services(
+    routes: Iterable[Route], registered: Iterable[ServiceId]
+) -> Iterator[ServiceId]:
+    searched: dict[ServiceId, None] = {}
+    single: set[ServiceId] = set()
     for route in routes:
-        for service in route.shards.services if route.shards else ():
-            if service in seen:
-                continue
-            seen.add(service)
-            for candidate in rank(service)[:WARM_REPLICAS]:
-                if candidate.expected_ms < WORTHWHILE_MS:
-                    yield candidate.registration
+        searched.update(dict.fromkeys(route.shards.services if route.shards else ()))
+        single.update(one.service for one in route.services)
+    yield from searched
+    yield from (one for one in registered if one not in searched and one not in single)
--- a/tests/builders_forwarding.py
+++ b/tests/builders_forwarding.py
@@ -124,16 +124,19 @@
     limits=LIMITS,
     departing=None,
     state_of=always_idle,
+    host="e0",
+    started_ms=0.0,
 ):
     observations = Observations()
     choice = ExpectedLatencyChoice(
+        host,
         domain,
         REGIONS,
         observations,
         {} if departing is None else departing,
         state_of,
     )
-    budget = RepeatBudget(limits)
+    budget = RepeatBudget(limits, started_ms)
     budget.share_among(1, 0.0)
     return Planner(replicas, choice, budget, observations)
 
--- a/tests/test_forwarding_client.py
+++ b/tests/test_forwarding_client.py
@@ -289,6 +289,21 @@
     assert upstream.connections == 2
 
 
+async def test_a_stated_idle_limit_holds_for_new_connections_too(upstream, caller):
+    async def script(self, request, writer):
+        writer.write(self.answer(request, extra="Keep-Alive: timeout=0\r\n"))
+
+    upstream.script = script
+    await caller.send()
+    registration = make_registration(upstream.upstream, address=upstream.address)
+    caller.client.warm_up(registration)
+    async with asyncio.timeout(5):
+        while upstream.connections < 2:
+            await asyncio.sleep(0.005)
+    await caller.send()
+    assert upstream.connections == 3
+
+
 async def test_a_cancelled_attempt_closes_its_connection(upstream, caller):
     upstream.delay_s = 5.0
     sending = asyncio.ensure_future(caller.send())
--- a/tests/test_forwarding_policies.py
+++ b/tests/test_forwarding_policies.py
@@ -1,6 +1,7 @@
 """Replay the load pattern that each decision of forwarding answers."""
 
 import random
+from collections import Counter
 
 import pytest
 from hypothesis import given, settings, strategies as st
@@ -133,7 +134,7 @@
 def test_all_hosts_together_stay_within_the_operators_bound(seed, hosts, busy):
     rng = random.Random(seed)
     limits = LIMITS
-    budgets = [RepeatBudget(limits) for _ in range(hosts)]
+    budgets = [RepeatBudget(limits, started_ms=0.0) for _ in range(hosts)]
     for budget in budgets:
         budget.share_among(hosts, 0.0)
     requests, repeats = [], []
@@ -153,7 +154,7 @@
 
 
 def test_hosts_that_seem_gone_keep_their_share_of_the_allowance():
-    budget = RepeatBudget(LIMITS)
+    budget = RepeatBudget(LIMITS, started_ms=0.0)
     budget.share_among(9, 0.0)
     share = budget.left("a", 20_000.0)
     budget.share_among(2, 10_000.0)
@@ -163,7 +164,7 @@
 
 
 def test_retries_may_spend_what_hedges_must_leave():
-    budget = RepeatBudget(LIMITS)
+    budget = RepeatBudget(LIMITS, started_ms=0.0)
     budget.earn("a", 0.0)
     while budget.spend("a", AttemptKind.HEDGE, 20_000.0):
         pass
@@ -171,7 +172,7 @@
 
 
 def test_many_hosts_with_few_requests_each_may_still_hedge_in_every_window():
-    budget = RepeatBudget(LIMITS._replace(allowance=198.0))
+    budget = RepeatBudget(LIMITS._replace(allowance=198.0), started_ms=0.0)
     budget.share_among(79, 0.0)
     budget.earn("a", 0.0)
     for window in range(1, 6):
@@ -249,18 +250,27 @@
 def test_connections_are_kept_to_the_first_and_the_hedge_of_each_shard():
     planner = make_planner()
     routes = (make_route(shards=2), make_single_route())
-    kept = list(
-        warm_targets(routes, lambda service: planner.rank_for_search(service, 0.0))
-    )
+    kept = list(warm_targets(routes, (), lambda one: planner.rank_for_search(one, 0.0)))
     assert len(kept) == 4
     assert [one.domain for one in kept][0::2] == ["waw-a", "waw-a"]
     seen = planner.observations.of("shard-0@waw-a")
     seen.started(1, 0.0)
     seen.ended(1, AttemptEnd.NOT_SENT, 5.0)
-    again = warm_targets(routes, lambda service: planner.rank_for_search(service, 9.0))
+    again = warm_targets(routes, (), lambda one: planner.rank_for_search(one, 9.0))
     assert "shard-0@waw-a" not in [one.upstream for one in again]
 
 
+def test_connections_are_open_before_a_configuration_names_other_shards():
+    planner = make_planner()
+    routes = (make_route(shards=1), make_single_route(service="payroll"))
+    registered = ["shard-0", "payroll", "newer-0", "newer-1"]
+    kept = warm_targets(
+        routes, registered, lambda one: planner.rank_for_search(one, 0.0)
+    )
+    services = [one.service for one in kept]
+    assert services == ["shard-0"] * 2 + ["newer-0"] * 2 + ["newer-1"] * 2
+
+
 def test_domains_are_those_of_the_replay():
     assert set(PATH_MS) == set(DOMAINS)
 
@@ -277,9 +287,10 @@
         one.pauses = pauses(rng, every_ms=4_500.0, pause_ms=200.0)
     for one in rng.sample(upstreams, round(0.15 * len(upstreams))):
         trouble(one, random.Random(rng.random()))
-    planner = make_planner(limits=RepeatLimits(0.2, 198.0, 10_000.0))
-    planner.budget.share_among(79, -20_000.0)
-    planner.budget.earn("shard-0", -20_000.0)
+    planner = make_planner(
+        limits=RepeatLimits(0.2, 198.0, 10_000.0), started_ms=-20_000.0
+    )
+    planner.budget.share_among(79, 0.0)
     return LoadReplay(route, upstreams, planner, seed).run(1.9, 8_000.0)
 
 
@@ -336,3 +347,20 @@
     assert planner.to_probe("shard-0", far, 2_300.0).upstream == "shard-0@waw-a"
     near.started(1, 2_300.0)
     assert planner.to_probe("shard-0", far, 2_400.0) is None
+
+
+def test_hosts_spread_their_hedges_over_equally_distant_upstreams():
+    counts = Counter()
+    for number in range(200):
+        planner = make_planner(host=f"10.0.0.{number}:8224")
+        ranked = planner.rank_for_search("shard-0", 0.0)
+        assert ranked[0].registration.domain == "waw-a"
+        counts[ranked[1].registration.domain] += 1
+    assert min(counts["krk-a"], counts["gda-a"]) >= 70
+
+
+def test_a_host_that_started_before_its_traffic_may_hedge_each_shard_at_once():
+    planner = make_planner(limits=RepeatLimits(0.2, 198.0, 10_000.0))
+    planner.budget.share_among(79, 0.0)
+    planner.budget.earn("shard-0", 16_000.0)
+    assert planner.may_repeat("shard-0", AttemptKind.HEDGE, 16_030.0)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -37,7 +37,7 @@
     store.page = 2
     for number in range(5):
         store.put(f"servers/u-{number}", entry_of("a", f"127.0.0.1:{9000 + number}"))
-    delta = await source.read_all()
+    delta = await source.read_all(1_500.0)
     assert delta.is_whole
     assert delta.revision == store.revision
     assert [one.registration.upstream for one in delta.registered] == [
@@ -85,7 +85,7 @@
 async def test_a_malformed_registration_harms_no_other(store, source, entry):
     store.put("servers/bad", entry)
     store.put("servers/good", entry_of("a", "127.0.0.1:9002"))
-    delta = await source.read_all()
+    delta = await source.read_all(1_500.0)
     assert [one.registration.upstream for one in delta.registered] == ["good"]
     assert source.counts["malformed_registrations"] == 1
 
@@ -93,7 +93,7 @@
 async def test_bytes_that_are_no_base64_harm_no_other(store, source):
     store.put_text("servers/bad", "***")
     store.put("servers/good", entry_of("a", "127.0.0.1:9002"))
-    delta = await source.read_all()
+    delta = await source.read_all(1_500.0)
     assert [one.registration.upstream for one in delta.registered] == ["good"]
 
 
@@ -122,16 +122,18 @@
 
 
 async def test_a_silent_connection_is_given_up(store, source, monkeypatch):
-    monkeypatch.setattr("burdockmill.platform.store_source.READ_TIMEOUT_MS", 50)
+    monkeypatch.setattr("burdockmill.platform.store_source.WATCH_MARGIN_MS", 50.0)
     store.refusal = "silent"
     with pytest.raises(StoreError):
         await source.watch(1, 50)
+    with pytest.raises(StoreError):
+        await source.read_all(50.0)
     store.refusal = None
-    assert (await source.read_all()).tables.version == 7
+    assert (await source.read_all(1_500.0)).tables.version == 7
 
 
 async def test_an_answer_that_is_no_json_is_an_error(store, source):
     store.put("servers/u-1", entry_of("a", "127.0.0.1:9001"))
     store.items["servers/u-1"]["rev"] = "not a number"
     with pytest.raises(StoreError):
-        await source.read_all()
+        await source.read_all(1_500.0)
