Gather changes of the catalog by the operators' bound

Change: changes of a twelfth of the bound share a watch, 250 ms at 3 s as before. Ruled out: one reader a region, which leaves a cut domain without one for longer.

--- a/burdockmill/clients/catalog_reader.py
+++ b/burdockmill/clients/catalog_reader.py
@@ -29,8 +29,8 @@
 WATCHES_PER_LIMIT = 3
 # A catalog that nobody has confirmed for this part of the limit is read here.
 UNCONFIRMED_FRACTION = 0.55
-# Changes of this span share a watch, since each call is counted.
-GATHER_MS = 250.0
+# Changes of this part of the limit share a watch, since each call is counted.
+GATHERS_PER_LIMIT = 12
 DUTY_CHECK_MS = 100.0
 RETRY_FIRST_MS = 100.0
 MILLISECONDS_PER_SECOND = 1_000.0
@@ -69,6 +69,7 @@
         self._rng = rng
         self._emit = emit
         self._wait_ms = int(change_limit_ms / WATCHES_PER_LIMIT)
+        self._gather_ms = change_limit_ms / GATHERS_PER_LIMIT
         self._unconfirmed_limit_ms = change_limit_ms * UNCONFIRMED_FRACTION
         self._out_of_reach_ms: float | None = None
         self._is_out_of_reach = False
@@ -124,7 +125,7 @@
         if is_news:
             self._emit(CatalogRead(self._with_grace(delta)))
         self._emit(CatalogConfirmed(confirmed_ms))
-        return GATHER_MS if is_news else 0.0
+        return self._gather_ms if is_news else 0.0
 
     def _with_grace(self, delta: CatalogDelta) -> CatalogDelta:
         known = self._world.catalog.ready_count()
--- a/tests/test_catalog_reader.py
+++ b/tests/test_catalog_reader.py
@@ -17,7 +17,7 @@
 from burdockmill.messages.events import CatalogRead
 from burdockmill.systems._ring import Ring
 from burdockmill.world import World
-from tests.builders_forwarding import make_delta, make_tables
+from tests.builders_forwarding import make_delta, make_registration, make_tables
 
 CHANGE_LIMIT_MS = 3_000.0
 
@@ -30,6 +30,7 @@
         self.limits_ms = []
         self.asked = asyncio.Event()
         self.answers = False
+        self.watches = 0
 
     async def read_all(self, limit_ms):
         self.limits_ms.append(limit_ms)
@@ -41,7 +42,10 @@
         return delta._replace(is_whole=True, tables=tables, tables_revision=5)
 
     async def watch(self, after, wait_ms):
-        raise StoreError("silent")
+        if not self.answers:
+            raise StoreError("silent")
+        self.watches += 1
+        return make_delta(after + 1, make_registration(f"u-{after}"), base=after)
 
     async def close(self):
         pass
@@ -98,3 +102,26 @@
     store = SilentStore()
     await read_until(world, store, lambda _: len(store.limits_ms) >= 1)
     assert store.limits_ms[0] == USUAL.read_limit_ms
+
+
+@pytest.mark.parametrize(("limit_ms", "most"), [(1_200.0, 6), (6_000.0, 2)])
+async def test_changes_in_quick_succession_share_a_watch(world, limit_ms, most):
+    world.catalog.apply(
+        make_delta(1)._replace(tables=make_tables(), tables_revision=1), 0.0
+    )
+    store = SilentStore()
+    store.answers = True
+    reader = CatalogReader(
+        store,
+        world,
+        Ring(),
+        MonotonicClock(),
+        random.Random(1),
+        limit_ms,
+        lambda _: None,
+    )
+    world.fleet.confirmed_ms = float("-inf")
+    task = asyncio.create_task(reader.run())
+    await asyncio.sleep(0.45)
+    task.cancel()
+    assert 1 <= store.watches <= most
