--- a/burdockmill/_forwarding_reports.py
+++ b/burdockmill/_forwarding_reports.py
@@ -77,6 +77,7 @@
         metrics.set_events("store", node.source.counts)
         metrics.set_events("decisions", node.decisions.counts)
         metrics.set_events("forwarding", node.path.forwarder.counts)
+        metrics.set_events("repeats", node.path.budget.counts)
         if node.log_writer is not None:
             left_out = {"lines_left_out_by_reader": node.log_writer.left_out}
             metrics.set_events("log", left_out)
--- a/burdockmill/forwarding/request_log.py
+++ b/burdockmill/forwarding/request_log.py
@@ -153,7 +153,7 @@
 
 
 def _attempts(rows: list, run: RequestRun) -> list[list[object]]:
-    """Return upstream, kind, when sent, how long it took, and its end, by attempt."""
+    """Return upstream, kind, when sent, how long it took, its end, and connecting."""
     return [
         [
             row.upstream.upstream,
@@ -161,6 +161,7 @@
             _since(run, row.sent_ms),
             _rounded(row.took_ms),
             row.outcome.end.value if row.outcome else "open",
+            _rounded(row.outcome.connecting_ms) if row.outcome else None,
         ]
         for row in rows
     ]
--- a/burdockmill/policies/repeat_budget.py
+++ b/burdockmill/policies/repeat_budget.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from typing import TYPE_CHECKING, NamedTuple
 
 from burdockmill.forwarding.messages import AttemptKind
@@ -62,6 +62,7 @@
     """Count requests and repeats by service over a sliding window."""
 
     def __init__(self, limits: RepeatLimits, started_ms: float) -> None:
+        self.counts: Counter[str] = Counter()
         self.limits = limits
         self.hosts = 0
         self._most_hosts = 1
@@ -84,7 +85,9 @@
     def spend(self, service: ServiceId, kind: AttemptKind, now_ms: float) -> bool:
         """Pay for one repeat; tell whether the budget allows it."""
         if self.left(service, now_ms, USABLE_BY_KIND[kind]) < 1.0:
+            self.counts[f"refused_{kind.value}"] += 1
             return False
+        self.counts[f"paid_{kind.value}"] += 1
         self._spending_by_service[service].repeats_ms.append(now_ms)
         return True
 
@@ -93,6 +96,7 @@
         spending = self._spending_by_service.get(service)
         if spending is not None and spending.repeats_ms:
             spending.repeats_ms.pop()
+            self.counts["refunded"] += 1
 
     def left(self, service: ServiceId, now_ms: float, usable: float = 1.0) -> float:
         """Return how many repeats a part of the bound still allows."""
--- a/tests/test_forwarding_policies.py
+++ b/tests/test_forwarding_policies.py
@@ -171,6 +171,14 @@
     assert budget.spend("a", AttemptKind.RETRY, 20_000.0)
 
 
+def test_what_was_paid_refused_and_refunded_is_counted():
+    budget = RepeatBudget(LIMITS._replace(allowance=2.0, ratio=0.0), started_ms=0.0)
+    assert budget.spend("a", AttemptKind.RETRY, 20_000.0)
+    assert not budget.spend("a", AttemptKind.HEDGE, 20_000.0)
+    budget.refund("a")
+    assert budget.counts == {"paid_retry": 1, "refused_hedge": 1, "refunded": 1}
+
+
 def test_many_hosts_with_few_requests_each_may_still_hedge_in_every_window():
     budget = RepeatBudget(LIMITS._replace(allowance=198.0), started_ms=0.0)
     budget.share_among(79, 0.0)
