Keep no idle connections beside the ghosts of hosts that lost power

An upstream counts the connections of hosts that lost power until they are idle too long: some 56 ghosts and 56 new ones are above 74. Change: where hosts are many beside the cap, a host keeps no idle connection in its first 12 s (nor in its first 1.5 s, when it does not know how many hosts there are); few connections are in use at any moment. Sites of nine hosts are not concerned after the first 1.5 s.

--- a/burdockmill/clients/_upstream_pool.py
+++ b/burdockmill/clients/_upstream_pool.py
@@ -36,11 +36,11 @@
         self._users: set[asyncio.Task] = set()
 
     @contextmanager
-    def use(self) -> Iterator[WriteOnceSession]:
-        """Give the session to the present task; the pool keeps connections again."""
+    def use(self, keeps_idle: bool = True) -> Iterator[WriteOnceSession]:
+        """Give the session to the present task; say if the pool keeps connections."""
         task = asyncio.current_task()
         assert task is not None
-        self.connector.keeps_idle = True
+        self.connector.keeps_idle = keeps_idle
         self._users.add(task)
         try:
             yield self._session
--- a/burdockmill/clients/forwarding_client.py
+++ b/burdockmill/clients/forwarding_client.py
@@ -63,11 +63,13 @@
         codec: UpstreamCodec,
         clock: Clock,
         limit_of: Callable[[Registration], int],
+        keeps_idle: Callable[[Registration], bool],
     ) -> None:
         self.counts: Counter[str] = Counter()
         self._codec = codec
         self._clock = clock
         self._limit_of = limit_of
+        self._keeps_idle = keeps_idle
         self._pool_by_upstream: dict[UpstreamId, UpstreamPool] = {}
         self._side_tasks: set[asyncio.Task[None]] = set()
         self._open: set[Sending] = set()
@@ -148,7 +150,7 @@
             return own
 
         loop = asyncio.get_running_loop()
-        with pool.use() as session:
+        with pool.use(self._keeps_idle(action.upstream)) as session:
             connecting = loop.call_later(
                 CONNECT_LIMIT_MS / MILLISECONDS_PER_SECOND, _give_up_connect, sending
             )
--- a/burdockmill/forwarding/data_path.py
+++ b/burdockmill/forwarding/data_path.py
@@ -12,7 +12,7 @@
 from burdockmill.forwarding.planner import Planner
 from burdockmill.forwarding.request_log import RequestLog
 from burdockmill.forwarding.weighted_choice import WeightedChoices
-from burdockmill.policies.connection_share import connection_share
+from burdockmill.policies.connection_share import connection_share, keeps_idle
 from burdockmill.policies.repeat_budget import RepeatBudget, RepeatLimits
 from burdockmill.policies.replica_choice import ExpectedLatencyChoice
 from burdockmill.policies.warm_targets import warm_targets
@@ -51,7 +51,10 @@
         self._clock = clock
         self.observations = Observations()
         self.budget = RepeatBudget(repeat_limits(settings), clock.now_ms())
-        self.client = ForwardingClient(codec, clock, self._connections)
+        self._started_ms = clock.now_ms()
+        self.client = ForwardingClient(
+            codec, clock, self._connections, self._keeps_idle
+        )
         self.warmer = ConnectionWarmer(self.client, self._warm_targets, world.rng)
         self._choices = WeightedChoices(world.rng)
         choice = ExpectedLatencyChoice(
@@ -119,17 +122,26 @@
         if tables is None or self._world.fleet.leaving:
             return ()
         now_ms = self._clock.now_ms()
-        return warm_targets(
+        targets = warm_targets(
             tables.routes,
             list(self._world.catalog.upstreams_by_service),
             lambda service: self._planner.rank_for_search(service, now_ms),
         )
+        return filter(self._keeps_idle, targets)
 
-    def _connections(self, registration: Registration) -> int:
+    def _limit(self, registration: Registration) -> int:
         bounds = self._world.catalog.bounds_by_service.get(registration.service)
-        limit = bounds.connections_limit if bounds else DEFAULT_CONNECTIONS
+        return bounds.connections_limit if bounds else DEFAULT_CONNECTIONS
+
+    def _connections(self, registration: Registration) -> int:
+        limit = self._limit(registration)
         return connection_share(limit, self._world.live_host_count())
 
+    def _keeps_idle(self, registration: Registration) -> bool:
+        since_start_ms = self._clock.now_ms() - self._started_ms
+        hosts = self._world.live_host_count()
+        return keeps_idle(self._limit(registration), hosts, since_start_ms)
+
 
 def repeat_limits(settings: ForwardingSettings) -> RepeatLimits:
     """Return the operators' bound of repeats."""
--- a/tests/test_forwarding_client.py
+++ b/tests/test_forwarding_client.py
@@ -25,8 +25,12 @@
     def __init__(self, upstream, limit=2):
         self.upstream = upstream
         self.clock = MonotonicClock()
+        self.keeps_idle = True
         self.client = ForwardingClient(
-            PlatformUpstreamCodec(), self.clock, lambda _: limit
+            PlatformUpstreamCodec(),
+            self.clock,
+            lambda _: limit,
+            lambda _: self.keeps_idle,
         )
         self.number = 0
 
@@ -120,6 +124,16 @@
     await caller.client.close()
 
 
+async def test_connections_that_are_not_to_be_kept_close_after_use(upstream, caller):
+    caller.keeps_idle = False
+    for _ in range(3):
+        assert (await caller.send()).end is AttemptEnd.ANSWERED
+    assert upstream.connections == 3
+    async with asyncio.timeout(5):
+        while upstream.closed < 3:
+            await asyncio.sleep(0.005)
+
+
 async def test_another_owner_of_the_address_runs_nothing(upstream, caller):
     upstream.upstream, name = "u-2", upstream.upstream
     registration_name = name
--- a/tests/test_forwarding_policies.py
+++ b/tests/test_forwarding_policies.py
@@ -14,7 +14,7 @@
 )
 from burdockmill.forwarding.observations import Observation
 from burdockmill.policies.answer_timing import answer_times, is_enough
-from burdockmill.policies.connection_share import connection_share
+from burdockmill.policies.connection_share import connection_share, keeps_idle
 from burdockmill.policies.departure_grace import RETURN_MS, departure_grace_ms
 from burdockmill.policies.hedge_timing import hedge_delay_ms
 from burdockmill.policies.repeat_budget import RepeatBudget, RepeatLimits
@@ -372,3 +372,14 @@
     planner.budget.share_among(79, 0.0)
     planner.budget.earn("shard-0", 16_000.0)
     assert planner.may_repeat("shard-0", AttemptKind.HEDGE, 16_030.0)
+
+
+def test_hosts_that_lost_power_together_find_room_beside_their_ghosts():
+    limit, hosts, queries_per_s, in_use_s = 74, 84, 80.0, 0.06
+    ghosts = 2 * hosts // 3
+    kept = sum(keeps_idle(limit, hosts, 5_000.0) for _ in range(ghosts))
+    in_use = queries_per_s * in_use_s
+    assert ghosts + kept + in_use <= limit
+    assert keeps_idle(limit, hosts, 13_000.0)
+    assert keeps_idle(26, 9, 5_000.0)
+    assert not keeps_idle(26, 1, 100.0)
