Test what an upstream is handed of a deadline, and an action's last time

Two faults put in by hand had gone unnoticed without the process tests: a search that hands its owner 60 s instead of what is left, and a guard that takes an action after its last time (the owner's queue refuses it then, so the guard's own count is checked).

--- a/tests/test_actions.py
+++ b/tests/test_actions.py
@@ -306,3 +306,21 @@
     for index in range(count - 2):
         assert records.may_be_forgotten(100.0 + index, 50.0)
     assert not records.may_be_forgotten(100.0 + count - 2, 50.0)
+
+
+@pytest.mark.parametrize(("late_ms", "runs"), [(0.0, 0), (1.0, 0), (-300.0, 1)])
+def test_an_action_that_arrives_after_its_last_time_is_not_run(late_ms, runs):
+    fleet, tap = tapped()
+    message = sent_once(fleet, tap)
+    request = message.request._replace(request_id="late")
+    not_after_ms = fleet.clock.now_ms() - late_ms
+    late = message._replace(request=request, not_after_ms=not_after_ms)
+    fleet.post(OWNER, PeerReceived(ENTRY, late))
+    fleet.run_until(fleet.clock.now_ms() + 1_000.0)
+    ran = [entry for entry in fleet._upstreams.log if entry.request_id == "late"]
+    assert len(ran) == runs
+    counts = fleet.engine_by_host[OWNER].world.counter_by_name
+    assert counts["late_actions_refused"] == 1 - runs
+    if not runs:
+        outcomes = [report.outcome for _, _, report in tap.of(ActionOutcome)]
+        assert outcomes[-1].ran == Ran.NO
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -8,7 +8,11 @@
 from hypothesis import given, strategies as st
 
 from burdockmill.covered_slots import CoveredSlots
-from burdockmill.messages.actions import CancelAtUpstream, LogDecision
+from burdockmill.messages.actions import (
+    CancelAtUpstream,
+    LogDecision,
+    SendToUpstream,
+)
 from burdockmill.policies.hedge_budget import HedgeBudget
 from burdockmill.policies.observed_placement import ObservedPlacement
 from burdockmill.rules.model import ServiceRule
@@ -270,3 +274,20 @@
     placement = ObservedPlacement(UpstreamViews())
     chosen = {placement.choose(world, UPSTREAMS[:3], 1.0)[0] for _ in range(50)}
     assert chosen == {"u0"}
+
+
+@pytest.mark.parametrize("wait_ms", [40.0, 200.0, 900.0])
+def test_an_upstream_is_handed_no_more_than_what_is_left_of_the_deadline(wait_ms):
+    bench = Bench()
+    end_ms = bench.fleet.clock.now_ms() + wait_ms
+    handed = []
+
+    def note(host, action):
+        if isinstance(action, SendToUpstream):
+            handed.append(bench.fleet.clock.now_ms() + action.remaining_ms)
+
+    bench.fleet.on_action = note
+    bench.ask("q", for_ms=wait_ms + 100.0, deadline_ms=end_ms)
+    assert handed
+    assert max(handed) <= end_ms
+    assert min(handed) > end_ms - 20.0
