Claim no revision on a difference from other tables than those held

Cause, by reading and by the new test: a host that missed a configuration and then reads the store tells the next one as what differs from its own older tables. A peer that holds a newer configuration cannot apply that difference, yet took the revision as known, and asked nobody until the next change.

Change: such a difference leaves a gap, so that the host asks the peer for what it lacks. Ruled out: a stale read of the store, since the host heard from peers; the routes' index, which is made anew with the tables.

--- a/burdockmill/tables/catalog.py
+++ b/burdockmill/tables/catalog.py
@@ -129,9 +129,15 @@
         return True
 
     def _has_base(self, delta: CatalogDelta) -> bool:
-        """Tell whether the tables that a delta changes are known here."""
+        """Tell whether the tables that a delta tells can be known here after it.
+
+        What differs from other tables than those held says nothing, even where these
+        are newer, unless those held are as new as what it would make.
+        """
         change = delta.tables_change
-        return change is None or change.base <= self.tables_revision
+        if change is None or delta.tables_revision <= self.tables_revision:
+            return True
+        return change.base == self.tables_revision
 
     def _tables_of(self, delta: CatalogDelta) -> RoutingTables | None:
         change = delta.tables_change
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -172,3 +172,27 @@
     host.apply(store.since(host.revision, 0.0), 0.0)
     assert host.revision == store.revision
     assert state_of(host) == state_of(store)
+
+
+def test_a_difference_from_other_tables_than_those_held_leaves_a_gap():
+    def tables(version, *names):
+        routes = tuple(make_single_route(name, prefix=f"/{name}/") for name in names)
+        return make_tables(version, routes)
+
+    sender, receiver = Catalog(), Catalog()
+    for catalog in (sender, receiver):
+        first = make_delta(10, tables=tables(1, "a"), tables_revision=10)
+        catalog.apply(first, 0.0)
+    # The receiver has heard of a version that the sender has missed.
+    second = make_delta(20, base=10, tables=tables(2, "a", "b"), tables_revision=20)
+    receiver.apply(second, 1.0)
+    third = make_delta(30, base=10, tables=tables(3, "a", "c"), tables_revision=30)
+    told = sender.slim(third)
+    sender.apply(third, 2.0)
+    assert told.tables_change.base == 10
+    receiver.apply(told, 3.0)
+    assert receiver.revision == 20
+    receiver.apply(sender.since(receiver.revision, 4.0), 4.0)
+    assert receiver.revision == 30
+    assert receiver.tables.version == 3
+    assert receiver.routes.find("leave.example", "/c/x") is not None
