--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -196,3 +196,31 @@
     assert receiver.revision == 30
     assert receiver.tables.version == 3
     assert receiver.routes.find("leave.example", "/c/x") is not None
+
+
+@settings(max_examples=200, deadline=None)
+@given(seed=st.integers(0, 100_000))
+def test_no_host_claims_a_revision_whose_configuration_it_lacks(seed):
+    """Hosts read the store at times, pass on differences, and miss some of them."""
+    rng = random.Random(seed)
+    changes = history_of(seed, 24)
+    store, hosts = Catalog(), [Catalog() for _ in range(3)]
+    version_at = {0: 0}
+    for change in changes:
+        store.apply(change, 0.0)
+        version_at[store.revision] = store.tables.version if store.tables else 0
+        if rng.random() < 0.6:
+            continue
+        reader = rng.choice(hosts)
+        read = store.since(reader.revision, 0.0)
+        told = reader.slim(read)
+        reader.apply(read, 0.0)
+        for host in hosts:
+            if host is reader or rng.random() < 0.3:
+                continue
+            host.apply(told, 0.0)
+            if host.revision < told.revision and rng.random() < 0.7:
+                host.apply(reader.since(host.revision, 0.0), 0.0)
+        for host in hosts:
+            held = host.tables.version if host.tables else 0
+            assert held >= version_at[host.revision]
