Order the catalog by the store's era, then by its revision

Cause: the users' store may restart from a copy some seconds old. Its revisions are then assigned again, so a revision alone no longer orders what hosts hold: a host kept rows that the store had lost, and dropped new ones as older. Change: a catalog belongs to one era. A whole copy of a newer era replaces it; rows that the copy lacks stay for the time that writers need to write again; a drain holds for the same incarnation; deltas of other eras are refused. Routing tables are ordered by their version, which holds in all eras, so that the configuration in force never goes back. Hosts that lose their watch leave the read of the whole catalog to their domain's reader for a random part of a second. Era in probes, requests, logs, status and metrics. Ruled out: the era in the revision of each row (rows of two eras would lie side by side in one catalog, and each comparison would need the pair).

--- a/burdockmill/_forwarding_reports.py
+++ b/burdockmill/_forwarding_reports.py
@@ -13,6 +13,7 @@
     REQUESTS_OPEN,
     REVISION,
     RULES_AGE,
+    STORE_ERA,
 )
 
 if TYPE_CHECKING:
@@ -47,7 +48,8 @@
             "host": node.settings.host,
             "domain": node.settings.domain,
             "state": _state(node),
-            "configuration": catalog.tables.version if catalog.tables else 0,
+            "configuration": catalog.version,
+            "store_era": catalog.era,
             "catalog_revision": catalog.revision,
             "catalog_age_ms": round(now_ms - world.fleet.confirmed_ms),
             "requests_open": len(node.data_path.forwarder.open_runs),
@@ -91,6 +93,7 @@
             metrics.set_gauge(CONNECTIONS_OPEN, opened, surface=surface)
         age_ms = node.clock.now_ms() - world.fleet.confirmed_ms
         metrics.set_gauge(REVISION, world.revision)
+        metrics.set_gauge(STORE_ERA, world.catalog.era)
         metrics.set_gauge(RULES_AGE, age_ms / MILLISECONDS_PER_SECOND)
         self._set_members()
         return metrics.render_text(accept)
--- a/burdockmill/clients/catalog_reader.py
+++ b/burdockmill/clients/catalog_reader.py
@@ -9,6 +9,7 @@
 
 from burdockmill.clients.catalog_source import HistoryLostError, StoreError
 from burdockmill.messages.events import CatalogConfirmed, CatalogRead
+from burdockmill.messages.store_position import StorePosition
 from burdockmill.policies.departure_grace import departure_grace_ms
 from burdockmill.policies.store_role import StoreRole, store_role
 
@@ -20,7 +21,6 @@
     from burdockmill.clock import Clock
     from burdockmill.messages.catalog import CatalogDelta
     from burdockmill.messages.events import Event
-    from burdockmill.names import Revision
     from burdockmill.systems._ring import Ring
     from burdockmill.world import World
 
@@ -34,6 +34,9 @@
 # After an update, the next watch is delayed by `change_limit_ms` divided by this.
 # Changes within the delay share a watch, since the store counts each call.
 BATCHES_PER_LIMIT = 12
+# A host that is not its domain's reader delays a read of the whole catalog by up to
+# `change_limit_ms` divided by this; the reader relays its copy meanwhile.
+READ_DELAYS_PER_LIMIT = 3
 ROLE_CHECK_MS = 100.0
 RETRY_FIRST_MS = 100.0
 MILLISECONDS_PER_SECOND = 1_000.0
@@ -76,8 +79,10 @@
         self._unconfirmed_limit_ms = change_limit_ms * UNCONFIRMED_FRACTION
         self._last_unreachable_ms: float | None = None
         self._is_unreachable = False
-        self._must_read_all = False
-        self._watched_revision: Revision = 0
+        self._read_delay_ms = change_limit_ms / READ_DELAYS_PER_LIMIT
+        # The store could not tell the changes after this position.
+        self._lost_position: StorePosition | None = None
+        self._watched = StorePosition()
 
     async def run(self) -> None:
         """Read and watch until cancelled; retry failed calls with backoff."""
@@ -108,20 +113,17 @@
         """Read or watch once; return how long to wait afterwards, in milliseconds."""
         catalog = self._world.catalog
         requested_ms = self._clock.now_ms()
-        after = max(catalog.revision, self._watched_revision)
-        if self._must_read_all or not after:
+        after = max(catalog.position, self._watched)
+        if not after.revision or after == self._lost_position:
             delta = await self._source.read_all(self._timeouts.read_timeout_ms)
-            self._must_read_all = False
+            if delta.era < catalog.era:
+                raise StoreError(f"era {delta.era} after era {catalog.era}")
+            self._lost_position = None
         else:
             try:
                 delta = await self._source.watch(after, self._watch_ms)
-            except HistoryLostError:
-                logger.info(
-                    "store: history after revision {} is not kept; reading all again.",
-                    after,
-                )
-                self._must_read_all = True
-                return 0.0
+            except HistoryLostError as error:
+                return self._plan_whole_read(after, error)
         self._record_success()
         # A read of the whole catalog is emitted even if it is empty: later changes then
         # follow without a gap.
@@ -129,19 +131,43 @@
             delta.is_whole or delta.registered or delta.departed or delta.tables
         )
         confirmed_ms = requested_ms if delta.is_whole else self._clock.now_ms()
-        self._watched_revision = max(self._watched_revision, delta.revision)
+        self._watched = max(self._watched, delta.position)
         if has_updates:
             self._emit(CatalogRead(self._with_grace(delta)))
         self._emit(CatalogConfirmed(confirmed_ms))
         return self._batching_delay_ms if has_updates else 0.0
 
+    def _plan_whole_read(self, after: StorePosition, error: HistoryLostError) -> float:
+        """Return how long to wait before the whole catalog is read, in milliseconds.
+
+        Hosts that all lost their watch at once leave the read to their domain's reader;
+        one that receives a newer catalog from it meanwhile does not read at all.
+        """
+        self._lost_position = after
+        delay_ms = 0.0
+        if self._role() is not StoreRole.READER:
+            delay_ms = self._rng.uniform(0.0, self._read_delay_ms)
+        logger.info(
+            "store: no changes after era {}, revision {} ({}); reading all again "
+            "in {:.0f} ms.",
+            after.era,
+            after.revision,
+            error,
+            delay_ms,
+        )
+        return delay_ms
+
     def _with_grace(self, delta: CatalogDelta) -> CatalogDelta:
-        registered = self._world.catalog.ready_count()
+        catalog = self._world.catalog
+        is_new_era = catalog.tables is not None and delta.era > catalog.era
+        if is_new_era:
+            # Registrations that expire soon after are renewed as after an outage.
+            self._last_unreachable_ms = self._clock.now_ms()
         since_unreachable_ms = None
         if self._last_unreachable_ms is not None:
             since_unreachable_ms = self._clock.now_ms() - self._last_unreachable_ms
         grace_ms = departure_grace_ms(
-            len(delta.departed), registered, since_unreachable_ms
+            len(delta.departed), catalog.ready_count(), since_unreachable_ms, is_new_era
         )
         departed = tuple(
             departure._replace(grace_ms=grace_ms) for departure in delta.departed
@@ -158,9 +184,9 @@
         if not self._is_unreachable:
             self._is_unreachable = True
             logger.warning(
-                "store: unreachable ({}); revision {} stays active.",
+                "store: unreachable ({}); era {}, revision {} stays active.",
                 error,
-                self._world.catalog.revision,
+                *self._world.catalog.position,
             )
 
     def _record_success(self) -> None:
--- a/burdockmill/clients/catalog_source.py
+++ b/burdockmill/clients/catalog_source.py
@@ -8,7 +8,7 @@
 
 if TYPE_CHECKING:
     from burdockmill.messages.catalog import CatalogDelta
-    from burdockmill.names import Revision
+    from burdockmill.messages.store_position import StorePosition
 
 
 class StoreError(Exception):
@@ -16,7 +16,10 @@
 
 
 class HistoryLostError(StoreError):
-    """Signal that the store no longer keeps the changes after a revision."""
+    """Signal that the store cannot tell the changes after a position.
+
+    It no longer keeps them, or it restarted without its latest changes.
+    """
 
 
 class CatalogSource(ABC):
@@ -29,10 +32,10 @@
         """Return the whole catalog; `timeout_ms` bounds each call; raise StoreError."""
 
     @abstractmethod
-    async def watch(self, after: Revision, wait_ms: int) -> CatalogDelta:
-        """Return the changes after a revision, or none after `wait_ms`.
+    async def watch(self, after: StorePosition, wait_ms: int) -> CatalogDelta:
+        """Return the changes after a position, or none after `wait_ms`.
 
-        Raise StoreError; HistoryLostError if these changes are no longer stored.
+        Raise StoreError; HistoryLostError if the store cannot tell these changes.
         """
 
     @abstractmethod
--- a/burdockmill/forwarding/request_log.py
+++ b/burdockmill/forwarding/request_log.py
@@ -99,7 +99,8 @@
         confirmed_age_ms = now_ms - self._world.fleet.confirmed_ms
         inputs = {
             "route": run.route.name,
-            "configuration": catalog.tables.version if catalog.tables else 0,
+            "configuration": catalog.version,
+            "store_era": catalog.era,
             "catalog_revision": catalog.revision,
             "catalog_age_ms": round(confirmed_age_ms),
             "took_ms": round(took_ms, 1),
--- a/burdockmill/messages/catalog.py
+++ b/burdockmill/messages/catalog.py
@@ -9,7 +9,8 @@
 
 from burdockmill.forwarding.messages import Registration
 from burdockmill.forwarding.routes import RoutingTables
-from burdockmill.names import Revision, UpstreamId
+from burdockmill.messages.store_position import StorePosition
+from burdockmill.names import Era, Revision, UpstreamId
 
 
 class Registered(NamedTuple):
@@ -31,7 +32,7 @@
 
 
 class TablesDelta(NamedTuple):
-    """Carry the difference from the routing tables of the revision `base`.
+    """Carry the difference from the routing tables of the version `base`.
 
     `tables` omits unchanged routes; `removed` lists the names of removed routes.
     """
@@ -42,11 +43,11 @@
 
 
 class CatalogDelta(NamedTuple):
-    """Carry the changes after `base` up to `revision`.
+    """Carry the changes after `base` up to `revision`, both in one era of the store.
 
     `is_whole` marks a complete copy; registrations that it does not list are removed,
     as by a `Departed` with its `grace_ms`. `tables` or `tables_delta` carries a
-    configuration written at `tables_revision`.
+    configuration written at `tables_revision`; its version orders it in all eras.
     """
 
     base: Revision
@@ -58,15 +59,22 @@
     is_whole: bool = False
     grace_ms: float = 0.0
     tables_delta: TablesDelta | None = None
+    era: Era = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the state of the store that this delta leads to."""
+        return StorePosition(self.era, self.revision)
 
 
 class CatalogRequest(NamedTuple):
-    """Request the changes of the catalog after a revision."""
+    """Request the changes after a state of the store; `version` is of the tables."""
 
-    revision: Revision
+    position: StorePosition = StorePosition()
+    version: Revision = 0
 
 
 class CatalogResponse(NamedTuple):
-    """Return the changes after the requested revision."""
+    """Return the changes after the requested state, or a whole copy."""
 
     delta: CatalogDelta
--- a/burdockmill/messages/events.py
+++ b/burdockmill/messages/events.py
@@ -14,6 +14,7 @@
 from burdockmill.names import (
     AttemptId,
     CallerId,
+    Era,
     HostId,
     RequestId,
     Revision,
@@ -184,10 +185,14 @@
 
 
 class PeerRevisionReceived(NamedTuple):
-    """Report the revision of the rules or catalog that is active on a peer."""
+    """Report the revision of the rules or catalog that is active on a peer.
+
+    `store_era` is the era of the store that a catalog's revision belongs to.
+    """
 
     sender: HostId
     revision: Revision
+    store_era: Era = 0
 
 
 class CatalogRead(NamedTuple):
--- a/burdockmill/messages/fleet.py
+++ b/burdockmill/messages/fleet.py
@@ -9,6 +9,7 @@
 from burdockmill.names import (
     Address,
     DomainId,
+    Era,
     HostId,
     Revision,
     SnapshotId,
@@ -112,7 +113,7 @@
     """Show that the sender is alive, with its state; delivery shows the receiver alive.
 
     `confirmed_age_ms` is the time since the store last confirmed the sender's revision
-    as its newest.
+    as its newest. `store_era` is the era of the store that the revision belongs to.
     """
 
     sender: MemberUpdate
@@ -122,6 +123,7 @@
     updates: GossipUpdates = GossipUpdates()
     kind: ProbeKind = ProbeKind.ONE_WAY
     confirmed_age_ms: float = UNCONFIRMED_MS
+    store_era: Era = 0
 
 
 class IndirectProbeRequest(NamedTuple):
--- a/burdockmill/metrics.py
+++ b/burdockmill/metrics.py
@@ -67,6 +67,13 @@
 REVISION = Metric(
     "burdockmill_rules_revision", MetricKind.GAUGE, (), "Revision of the active rules."
 )
+STORE_ERA = Metric(
+    "burdockmill_store_era",
+    MetricKind.GAUGE,
+    (),
+    "Era of the platform's store that the catalog is from; it rises when the store "
+    "restarts without its latest changes.",
+)
 RULES_AGE = Metric(
     "burdockmill_rules_age_seconds",
     MetricKind.GAUGE,
@@ -111,6 +118,7 @@
     RECORDS_KEPT,
     READY,
     REVISION,
+    STORE_ERA,
     RULES_AGE,
     REFUSED_REVISION,
     MEMBERS,
--- a/burdockmill/names.py
+++ b/burdockmill/names.py
@@ -14,4 +14,5 @@
 AttemptId: TypeAlias = int
 SnapshotId: TypeAlias = int
 Revision: TypeAlias = int
+Era: TypeAlias = int
 Address: TypeAlias = str
--- a/burdockmill/platform/headers.py
+++ b/burdockmill/platform/headers.py
@@ -23,6 +23,11 @@
     )
 
 
+def first_value(headers: Mapping[str, str], names: tuple[str, ...]) -> str | None:
+    """Return the value of the first of several names that a header has, or None."""
+    return next((headers[name] for name in names if name in headers), None)
+
+
 def _connection_options(headers: Mapping[str, str]) -> Iterator[str]:
     for name in headers.get("Connection", "").split(","):
         yield name.strip().lower()
--- a/burdockmill/platform/store_source.py
+++ b/burdockmill/platform/store_source.py
@@ -6,7 +6,7 @@
 import binascii
 from base64 import b64decode
 from collections import Counter
-from typing import TYPE_CHECKING, Any, NoReturn
+from typing import TYPE_CHECKING, Any, NamedTuple, NoReturn
 from urllib.parse import urlencode
 
 import msgspec
@@ -20,20 +20,26 @@
     StoreError,
 )
 from burdockmill.messages.catalog import CatalogDelta, Departed, Registered
+from burdockmill.messages.store_position import StorePosition
 from burdockmill.platform.configuration import (
     decode_configuration,
     decode_registration,
     upstream_from_key,
 )
-from burdockmill.platform.wire_names import CONFIGURATION_KEY, REGISTRATIONS_PREFIX
+from burdockmill.platform.headers import first_value
+from burdockmill.platform.wire_names import (
+    CONFIGURATION_KEY,
+    REGISTRATIONS_PREFIX,
+    STORE_ERA,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from aiohttp import ClientSession
 
     from burdockmill.forwarding.routes import RoutingTables
-    from burdockmill.names import Address, Revision
+    from burdockmill.names import Address, Era, Revision
 
 # Added to a watch's wait for its timeout; a slow store answers within a few hundred
 # milliseconds.
@@ -61,6 +67,13 @@
     store_revision: int
 
 
+class _Answer(NamedTuple):
+    """Store the body of a successful answer, and the era that it belongs to."""
+
+    body: bytes
+    era: Era
+
+
 _RANGE_DECODER = msgspec.json.Decoder(_Range)
 _EVENTS_DECODER = msgspec.json.Decoder(_Events)
 
@@ -72,36 +85,49 @@
         self.counts: Counter[str] = Counter()
         self._address = address
         self._session: ClientSession | None = None
+        self._era: Era = 0
 
     async def read_all(self, timeout_ms: float) -> CatalogDelta:
         """Return the whole catalog; `timeout_ms` bounds each call; raise StoreError."""
-        revision: Revision | None = None
+        first: StorePosition | None = None
         items: list[_Item] = []
         for prefix in (CONFIGURATION_KEY, REGISTRATIONS_PREFIX):
             after = ""
             while True:
                 query = {"prefix": prefix} | ({"after": after} if after else {})
-                body = await self._get("/kv-range", query, timeout_ms)
-                page = self._decode(_RANGE_DECODER, body)
+                answer = await self._get("/kv-range", query, timeout_ms)
+                page = self._decode(_RANGE_DECODER, answer.body)
                 # Pages are read one after the other, so together they are certainly
                 # complete only up to the revision of the first page.
-                revision = page.store_revision if revision is None else revision
+                if first is None:
+                    first = StorePosition(answer.era, page.store_revision)
+                if answer.era != first.era:
+                    self._raise_error(
+                        f"era {answer.era} began while era {first.era} was read"
+                    )
                 items.extend(page.items)
                 if not page.has_more or not page.items:
                     break
                 after = page.items[-1].key
-        delta = self._build_delta(0, revision or 0, items)
+        assert first is not None
+        delta = self._build_delta(0, first, items)
         return delta._replace(is_whole=True)
 
-    async def watch(self, after: Revision, wait_ms: int) -> CatalogDelta:
-        """Return the changes after a revision, or none after `wait_ms`.
+    async def watch(self, after: StorePosition, wait_ms: int) -> CatalogDelta:
+        """Return the changes after a position, or none after `wait_ms`.
 
-        Raise StoreError; HistoryLostError if these changes are no longer stored.
+        Raise StoreError; HistoryLostError if the store cannot tell these changes.
         """
-        query = {"prefix": "", "after": after, "wait-ms": wait_ms}
-        body = await self._get("/kv-watch", query, WATCH_MARGIN_MS + wait_ms)
-        response = self._decode(_EVENTS_DECODER, body)
-        return self._build_delta(after, response.store_revision, response.events)
+        query = {"prefix": "", "after": after.revision, "wait-ms": wait_ms}
+        answer = await self._get("/kv-watch", query, WATCH_MARGIN_MS + wait_ms)
+        if answer.era > after.era:
+            # The revision was assigned again, perhaps to another change.
+            raise HistoryLostError(f"era {answer.era} followed era {after.era}")
+        if answer.era < after.era:
+            self._raise_error(f"an answer of era {answer.era} after era {after.era}")
+        response = self._decode(_EVENTS_DECODER, answer.body)
+        position = StorePosition(answer.era, response.store_revision)
+        return self._build_delta(after.revision, position, response.events)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -109,7 +135,9 @@
             await self._session.close()
             self._session = None
 
-    async def _get(self, path: str, query: dict[str, Any], timeout_ms: float) -> bytes:
+    async def _get(
+        self, path: str, query: dict[str, Any], timeout_ms: float
+    ) -> _Answer:
         self.counts["calls"] += 1
         timeout_s = timeout_ms / MILLISECONDS_PER_SECOND
         url = f"http://{self._address}{path}?{urlencode(query)}"
@@ -120,16 +148,35 @@
             ):
                 body = await response.read()
                 status = response.status
+                headers = response.headers
         except TimeoutError as error:
             self._raise_error(f"no answer within {timeout_s:.1f} s", error)
         except (ClientError, OSError) as error:
             self._raise_error(f"{type(error).__name__}: {error}", error)
+        era = self._read_era(headers)
         if status == GONE:
             self.counts["history_gone"] += 1
             raise HistoryLostError("the history is no longer kept")
         if status != OK:
             self._raise_error(f"status {status}")
-        return body
+        return _Answer(body, era)
+
+    def _read_era(self, headers: Mapping[str, str]) -> Era:
+        """Return the era of an answer, the last one received if it states none.
+
+        Raise StoreError for an answer of an older era, which was delayed.
+        """
+        text = first_value(headers, STORE_ERA)
+        if text is None:
+            return self._era
+        if not (text.isascii() and text.isdigit()):
+            self._raise_error(f"malformed era {text!r}")
+        era = int(text)
+        if era < self._era:
+            self.counts["answers_of_older_eras"] += 1
+            self._raise_error(f"an answer of era {era} after one of era {self._era}")
+        self._era = era
+        return era
 
     def _get_session(self) -> ClientSession:
         if self._session is None:
@@ -147,7 +194,7 @@
             self._raise_error(f"malformed answer: {error}", error)
 
     def _build_delta(
-        self, base: Revision, revision: Revision, items: Iterable[_Item]
+        self, base: Revision, position: StorePosition, items: Iterable[_Item]
     ) -> CatalogDelta:
         tables: RoutingTables | None = None
         tables_revision: Revision = 0
@@ -162,11 +209,12 @@
         changes = change_by_key.values()
         return CatalogDelta(
             base,
-            revision,
+            position.revision,
             tables_revision,
             tables,
             tuple(change for change in changes if isinstance(change, Registered)),
             tuple(change for change in changes if isinstance(change, Departed)),
+            era=position.era,
         )
 
     def _decode_tables(self, item: _Item) -> RoutingTables | None:
--- a/burdockmill/platform/wire_names.py
+++ b/burdockmill/platform/wire_names.py
@@ -12,6 +12,11 @@
 PART_STAMPS = "X-Burdockmill-Part-Stamps"
 PARTS_MISSING = "X-Burdockmill-Parts-Missing"
 
+# The pages spell these without the prefix of the other headers; both are accepted.
+STORE_ERA = ("Store-Era", "X-Burdockmill-Store-Era")
+LEAVING = ("Server-Leaving", "X-Burdockmill-Server-Leaving")
+RETRY_AFTER = "Retry-After"
+
 CONFIGURATION_KEY = "op/config"
 REGISTRATIONS_PREFIX = "servers/"
 
--- a/burdockmill/systems/_probes.py
+++ b/burdockmill/systems/_probes.py
@@ -42,6 +42,7 @@
         updates or GossipUpdates(),
         kind,
         now_ms - fleet.confirmed_ms,
+        world.catalog.era,
     )
     actions.append(SendToPeer(host, probe))
 
--- a/burdockmill/systems/catalog_system.py
+++ b/burdockmill/systems/catalog_system.py
@@ -16,12 +16,13 @@
     PeerRevisionReceived,
 )
 from burdockmill.messages.fleet import GossipUpdates
+from burdockmill.messages.store_position import StorePosition
 from burdockmill.systems._apply_updates import CONFIG, disseminate
 from burdockmill.systems._probes import send_probe
 from burdockmill.systems.system import System
 
 if TYPE_CHECKING:
-    from burdockmill.names import HostId, Revision
+    from burdockmill.names import HostId
     from burdockmill.world import World
 
 # A peer that is ahead gets a request only once dissemination in the own domain had
@@ -54,7 +55,7 @@
     )
 
     def __init__(self) -> None:
-        self._revision_by_host: dict[HostId, Revision] = {}
+        self._position_by_host: dict[HostId, StorePosition] = {}
 
     def run(self, world: World, now_ms: float) -> list[Action]:
         """Apply deltas, respond to peers, and request revisions that peers report."""
@@ -82,11 +83,10 @@
                 for delta in event.deltas:
                     self._apply(world, delta, event.sender, now_ms, actions)
             case PeerRevisionReceived():
-                self._record_revision(world, event.sender, event.revision, now_ms)
+                position = StorePosition(event.store_era, event.revision)
+                self._record_position(world, event.sender, position, now_ms)
             case PeerReceived(message=CatalogRequest() as request):
-                response = CatalogResponse(
-                    world.catalog.since(request.revision, now_ms)
-                )
+                response = CatalogResponse(world.catalog.since(request, now_ms))
                 actions.append(SendToPeer(event.sender, response))
             case PeerReceived(message=CatalogResponse() as response):
                 self._handle_response(world, event.sender, response, now_ms, actions)
@@ -114,7 +114,7 @@
         now_ms: float,
         actions: list[Action],
     ) -> None:
-        if response.delta.revision <= world.catalog.revision:
+        if response.delta.position <= world.catalog.position:
             return
         compact = world.catalog.with_tables_delta(response.delta)
         self._apply(world, response.delta, sender, now_ms, actions)
@@ -130,22 +130,24 @@
         actions: list[Action],
     ) -> None:
         catalog = world.catalog
-        previous_revision = catalog.revision
+        previous = catalog.position
         change = catalog.apply(delta, now_ms)
-        if delta.revision < previous_revision:
+        if delta.position < previous:
             world.counter_by_name["catalog_older_ignored"] += 1
-        if catalog.revision < delta.revision:
+        if catalog.position < delta.position:
             world.counter_by_name["catalog_gaps"] += 1
-            self._record_revision(world, source, delta.revision, now_ms)
+            self._record_position(world, source, delta.position, now_ms)
+        if catalog.era != previous.era:
+            self._log_new_era(world, source, previous, actions)
         self._remove_departed(world, now_ms, actions)
         if not change:
             return
-        version = catalog.tables.version if catalog.tables else 0
         inputs = {
             "source": source,
+            "store_era": delta.era,
             "base": delta.base,
             "revision": delta.revision,
-            "configuration": version,
+            "configuration": catalog.version,
             "registered": change.upstreams,
             "departing": change.departing,
         }
@@ -172,13 +174,34 @@
             )
             world.announce(CatalogChanged(False, tuple(departed)))
 
-    def _record_revision(
-        self, world: World, sender: HostId, revision: Revision, now_ms: float
+    def _log_new_era(
+        self,
+        world: World,
+        source: str,
+        previous: StorePosition,
+        actions: list[Action],
+    ) -> None:
+        world.counter_by_name["catalog_eras_started"] += 1
+        catalog = world.catalog
+        inputs = {
+            "source": source,
+            "previous_era": previous.era,
+            "previous_revision": previous.revision,
+            "configuration": catalog.version,
+        }
+        choice = f"store era {catalog.era} active at revision {catalog.revision}"
+        reason = "the store restarted without its latest changes"
+        if not previous.era:
+            reason = "first era that this host received"
+        actions.append(LogDecision("catalog", "", choice, reason, inputs=inputs))
+
+    def _record_position(
+        self, world: World, sender: HostId, position: StorePosition, now_ms: float
     ) -> None:
-        if revision <= world.catalog.revision or sender == STORE:
-            self._revision_by_host.pop(sender, None)
+        if position <= world.catalog.position or sender == STORE:
+            self._position_by_host.pop(sender, None)
             return
-        self._revision_by_host[sender] = revision
+        self._position_by_host[sender] = position
         due = world.due(self.name)
         if REQUEST not in due:
             wait_ms = REQUEST_DELAY_MS if world.catalog.revision else 0.0
@@ -187,17 +210,18 @@
     def _request_catalog(
         self, world: World, now_ms: float, actions: list[Action]
     ) -> None:
-        current = world.catalog.revision
+        current = world.catalog.position
         ahead = {
-            host: revision
-            for host, revision in self._revision_by_host.items()
-            if revision > current
+            host: position
+            for host, position in self._position_by_host.items()
+            if position > current
         }
-        self._revision_by_host = ahead
+        self._position_by_host = ahead
         if not ahead:
             return
         world.due(self.name).schedule(REQUEST, now_ms + REQUEST_RETRY_MS)
         newest = max(ahead.values())
         hosts = sorted(host for host in ahead if ahead[host] == newest)
         world.counter_by_name["catalog_asked"] += 1
-        actions.append(SendToPeer(world.rng.choice(hosts), CatalogRequest(current)))
+        request = CatalogRequest(current, world.catalog.version)
+        actions.append(SendToPeer(world.rng.choice(hosts), request))
--- a/burdockmill/systems/probe_system.py
+++ b/burdockmill/systems/probe_system.py
@@ -22,6 +22,7 @@
     Probe,
     ProbeKind,
 )
+from burdockmill.messages.store_position import StorePosition
 from burdockmill.systems._anti_entropy import compare_digests
 from burdockmill.systems._apply_updates import CONFIG, apply_updates, disseminate
 from burdockmill.systems._fleet_rows import apply_member_update, member_update
@@ -165,20 +166,18 @@
             )
         confirmed_ms = now_ms - probe.confirmed_age_ms
         world.fleet.confirmed_ms = max(world.fleet.confirmed_ms, confirmed_ms)
-        world.put_event(CONFIG, PeerRevisionReceived(host, probe.revision))
+        revision = PeerRevisionReceived(host, probe.revision, probe.store_era)
+        world.put_event(CONFIG, revision)
         if self._is_behind(world, probe, now_ms):
             self._send(world, host, now_ms, actions, kind=ProbeKind.RESPONSE)
         compare_digests(world, host, probe.digests, is_new_member, now_ms, actions)
 
     def _is_behind(self, world: World, probe: Probe, now_ms: float) -> bool:
         since_ms = now_ms - world.fleet.active_since_ms
-        active_revision = world.revision
+        reported = StorePosition(probe.store_era, probe.revision)
+        active = StorePosition(world.catalog.era, world.revision)
         is_settled = since_ms > REVISION_SETTLE_MS
-        return (
-            probe.revision < active_revision
-            and is_settled
-            and probe.kind == ProbeKind.ONE_WAY
-        )
+        return reported < active and is_settled and probe.kind == ProbeKind.ONE_WAY
 
     def _record_contact(self, world: World, host: HostId, now_ms: float) -> None:
         fleet = world.fleet
--- a/burdockmill/tables/catalog.py
+++ b/burdockmill/tables/catalog.py
@@ -6,12 +6,14 @@
 
 from burdockmill.forwarding.routes import RouteIndex
 from burdockmill.messages.catalog import CatalogDelta, Departed, Registered
+from burdockmill.messages.store_position import StorePosition
 from burdockmill.tables.tables_delta import apply_tables_delta, compute_tables_delta
 
 if TYPE_CHECKING:
     from burdockmill.forwarding.messages import Registration
     from burdockmill.forwarding.routes import RoutingTables, ServiceBounds
-    from burdockmill.names import Revision, ServiceId, UpstreamId
+    from burdockmill.messages.catalog import CatalogRequest
+    from burdockmill.names import Era, Revision, ServiceId, UpstreamId
 
 DEPARTURES_LIMIT = 4_096
 
@@ -28,10 +30,16 @@
 
 
 class Catalog:
-    """Store the newest known catalog; older changes never replace newer ones."""
+    """Store the newest known catalog; older changes never replace newer ones.
+
+    All revisions belong to one era of the store. The routing tables are ordered by
+    their version, which holds in all eras.
+    """
 
     def __init__(self) -> None:
+        self.era: Era = 0
         self.revision: Revision = 0
+        # The store has no newer tables than these up to this revision at least.
         self.tables_revision: Revision = 0
         self.tables: RoutingTables | None = None
         self.routes = RouteIndex(())
@@ -43,15 +51,34 @@
         self._revision_by_upstream: dict[UpstreamId, Revision] = {}
         self._departed_by_upstream: dict[UpstreamId, Revision] = {}
         self._departures_complete_since: Revision = 0
+        # Until then a whole copy lets its receiver keep what it does not list.
+        self._renewed_by_ms = 0.0
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the state of the store that this catalog represents."""
+        return StorePosition(self.era, self.revision)
+
+    @property
+    def version(self) -> Revision:
+        """Return the version of the routing tables, 0 if there are none."""
+        return self.tables.version if self.tables else 0
 
     def apply(self, delta: CatalogDelta, now_ms: float) -> CatalogApplyResult:
         """Apply what is newer than the stored state.
 
         A delta whose base is newer than this catalog leaves a gap: its content is
-        applied, but `revision` does not advance.
+        applied, but `revision` does not advance. A delta of an older era is ignored,
+        and one of a newer era unless it is a whole copy.
         """
+        if delta.era != self.era:
+            if delta.era < self.era or not delta.is_whole:
+                return CatalogApplyResult()
+            delta = self._start_era(delta, now_ms)
         has_base = self._has_base(delta)
         tables = self._apply_tables(delta)
+        if has_base:
+            self.tables_revision = max(self.tables_revision, delta.tables_revision)
         upstreams = [
             entry.registration.upstream
             for entry in delta.registered
@@ -74,12 +101,17 @@
         departing_upstreams = tuple(departure.upstream for departure in departing)
         return CatalogApplyResult(tables, tuple(upstreams), departing_upstreams)
 
-    def since(self, revision: Revision, now_ms: float) -> CatalogDelta:
-        """Return the changes after a revision, or a whole copy.
+    def since(self, request: CatalogRequest, now_ms: float) -> CatalogDelta:
+        """Return the changes that a request asks for, or a whole copy.
 
-        A whole copy is needed where departures after the revision were discarded.
+        A whole copy is needed where departures after the requested revision were
+        discarded, and for another era.
         """
-        is_whole = revision < self._departures_complete_since
+        revision = request.position.revision
+        is_whole = (
+            request.position.era != self.era
+            or revision < self._departures_complete_since
+        )
         after = 0 if is_whole else revision
         registered = [
             Registered(written_at, self.registration_by_upstream[upstream])
@@ -91,22 +123,27 @@
             for upstream, written_at in self._departed_by_upstream.items()
             if written_at > after
         ]
-        has_tables = self.tables_revision > after
+        # Receivers relay a delta, so it omits nothing that was written after its base.
+        has_tables = self.tables_revision > after or self.version > request.version
         return CatalogDelta(
-            revision,
+            after,
             self.revision,
-            self.tables_revision if has_tables else 0,
+            self.tables_revision if has_tables or is_whole else 0,
             self.tables if has_tables else None,
             tuple(registered),
             tuple(departed),
             is_whole,
+            grace_ms=max(0.0, self._renewed_by_ms - now_ms) if is_whole else 0.0,
+            era=self.era,
         )
 
     def with_tables_delta(self, delta: CatalogDelta) -> CatalogDelta:
         """Return the delta with its routing tables as a difference from these."""
         if delta.tables is None or self.tables is None or delta.is_whole:
             return delta
-        change = compute_tables_delta(self.tables_revision, self.tables, delta.tables)
+        if delta.tables.version <= self.tables.version:
+            return delta
+        change = compute_tables_delta(self.tables, delta.tables)
         return delta._replace(tables=None, tables_delta=change)
 
     def remove_departed(self, now_ms: float) -> list[UpstreamId]:
@@ -128,14 +165,39 @@
         """Return the number of registered upstreams that are not draining."""
         return sum(not one.draining for one in self.registration_by_upstream.values())
 
+    def _start_era(self, delta: CatalogDelta, now_ms: float) -> CatalogDelta:
+        """Make all rows older than a whole copy of a newer era; return that copy.
+
+        An upstream does not resume work once it drains, so the copy's state from
+        before does not count for the same incarnation.
+        """
+        self.era = delta.era
+        self.revision = self.tables_revision = 0
+        self._revision_by_upstream = dict.fromkeys(self.registration_by_upstream, 0)
+        self._departed_by_upstream.clear()
+        self._departures_complete_since = 0
+        self._renewed_by_ms = now_ms + delta.grace_ms
+        registered = tuple(
+            entry._replace(registration=entry.registration._replace(draining=True))
+            if self._is_known_to_drain(entry.registration)
+            else entry
+            for entry in delta.registered
+        )
+        return delta._replace(registered=registered)
+
+    def _is_known_to_drain(self, registration: Registration) -> bool:
+        known = self.registration_by_upstream.get(registration.upstream)
+        return (
+            known is not None
+            and known.draining
+            and known.started_ms == registration.started_ms
+        )
+
     def _apply_tables(self, delta: CatalogDelta) -> bool:
         tables = self._resolve_tables(delta)
-        if tables is None or delta.tables_revision <= self.tables_revision:
-            return False
-        if self.tables is not None and tables.version <= self.tables.version:
+        if tables is None or tables.version <= self.version:
             return False
         self.tables = tables
-        self.tables_revision = delta.tables_revision
         self.routes = RouteIndex(tables.routes)
         self.bounds_by_service = {bounds.name: bounds for bounds in tables.services}
         return True
@@ -143,20 +205,20 @@
     def _has_base(self, delta: CatalogDelta) -> bool:
         """Return whether the routing tables up to the delta's revision are available.
 
-        A difference can be applied only to the tables of its base revision, not to
+        A difference can be applied only to the tables of its base version, not to
         older or newer ones. It is not needed when the stored tables are at least as
         new as its result.
         """
         change = delta.tables_delta
-        if change is None or delta.tables_revision <= self.tables_revision:
+        if change is None or change.tables.version <= self.version:
             return True
-        return change.base == self.tables_revision
+        return change.base == self.version
 
     def _resolve_tables(self, delta: CatalogDelta) -> RoutingTables | None:
         change = delta.tables_delta
         if change is None:
             return delta.tables
-        if self.tables is None or change.base != self.tables_revision:
+        if self.tables is None or change.base != self.version:
             return None
         return apply_tables_delta(self.tables, change)
 
--- a/burdockmill/tables/gossip_updates.py
+++ b/burdockmill/tables/gossip_updates.py
@@ -116,7 +116,7 @@
         tuple(update for update in updates if isinstance(update, HoldingsNews)),
         tuple(sorted(rules, key=lambda delta: delta.revision)),
         listed[-1] if listed else None,
-        tuple(sorted(catalog, key=lambda delta: delta.revision)),
+        tuple(sorted(catalog, key=lambda delta: delta.position)),
     )
 
 
@@ -130,5 +130,5 @@
         case RulesDelta():
             return UpdateKey("rules", str(update.revision))
         case CatalogDelta():
-            return UpdateKey("catalog", str(update.revision))
+            return UpdateKey("catalog", f"{update.era}/{update.revision}")
     return UpdateKey("listed", "")
--- a/burdockmill/tables/tables_delta.py
+++ b/burdockmill/tables/tables_delta.py
@@ -8,20 +8,17 @@
 
 if TYPE_CHECKING:
     from burdockmill.forwarding.routes import RoutingTables
-    from burdockmill.names import Revision
 
 
-def compute_tables_delta(
-    base: Revision, before: RoutingTables, after: RoutingTables
-) -> TablesDelta:
-    """Return the difference from the tables of the revision `base` to newer ones."""
+def compute_tables_delta(before: RoutingTables, after: RoutingTables) -> TablesDelta:
+    """Return the difference from older tables to newer ones."""
     route_by_name = {route.name: route for route in before.routes}
     changed = tuple(
         route for route in after.routes if route_by_name.get(route.name) != route
     )
     names = {route.name for route in after.routes}
     removed = tuple(name for name in route_by_name if name not in names)
-    return TablesDelta(base, after._replace(routes=changed), removed)
+    return TablesDelta(before.version, after._replace(routes=changed), removed)
 
 
 def apply_tables_delta(before: RoutingTables, change: TablesDelta) -> RoutingTables:
--- a/tests/builders_forwarding.py
+++ b/tests/builders_forwarding.py
@@ -25,7 +25,7 @@
     ShardSet,
     WeightedService,
 )
-from burdockmill.messages.catalog import CatalogDelta, Registered
+from burdockmill.messages.catalog import CatalogDelta, CatalogRequest, Registered
 from burdockmill.policies.repeat_budget import RepeatBudget, RepeatLimits
 from burdockmill.policies.replica_choice import ExpectedLatencyChoice
 
@@ -90,6 +90,11 @@
     return CatalogDelta(base, revision, registered=registered)._replace(**changes)
 
 
+def request_from(catalog):
+    """Return the request of a host for the changes that its catalog lacks."""
+    return CatalogRequest(catalog.position, catalog.version)
+
+
 def make_request(request_id="r-1", received_ms=0.0, deadline_ms=1_200.0, **changes):
     request = ForwardedRequest(
         request_id,
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from base64 import b64encode
+from collections import Counter
 
 from aiohttp import web
 
@@ -102,6 +103,10 @@
         self.page = 500
         self.calls = 0
         self.refusal = None
+        # None: answers state no era, as those of a store that never lost writes.
+        self.era = None
+        self.era_header = "Store-Era"
+        self.calls_by_path = Counter()
         self._changed = asyncio.Event()
         self._runner = None
         self.address = ""
@@ -126,6 +131,17 @@
         self.events.clear()
         self._notify_watches()
 
+    def copy(self):
+        """Return a copy of the state, to restart from with `restart_from`."""
+        return self.revision, dict(self.items), list(self.events)
+
+    def restart_from(self, copied):
+        """Restart from a copy: later writes are lost, and the era rises."""
+        self.revision, items, events = copied
+        self.items, self.events = dict(items), list(events)
+        self.era = (self.era or 0) + 1
+        self._notify_watches()
+
     def _publish(self, event):
         self.events.append(event)
         self._notify_watches()
@@ -148,6 +164,7 @@
 
     async def _serve(self, request):
         self.calls += 1
+        self.calls_by_path[request.path] += 1
         if self.refusal == "reset":
             request.transport.abort()
             return web.Response()
@@ -156,8 +173,12 @@
         if self.refusal is not None:
             return web.Response(status=self.refusal)
         if request.path == "/kv-range":
-            return self._range(request.query)
-        return await self._watch(request.query)
+            response = self._range(request.query)
+        else:
+            response = await self._watch(request.query)
+        if self.era is not None:
+            response.headers[self.era_header] = str(self.era)
+        return response
 
     def _range(self, query):
         keys = sorted(
@@ -176,6 +197,8 @@
 
     async def _watch(self, query):
         after = int(query["after"])
+        if self.era is not None and after > self.revision:
+            return web.Response(status=410)
         changed = self._changed
         if not self._after(after, query["prefix"]) and after >= self.kept_since:
             wait_s = int(query["wait-ms"]) / 1_000
@@ -184,7 +207,7 @@
                     await changed.wait()
             except TimeoutError:
                 pass
-        if after < self.kept_since:
+        if after < self.kept_since or (self.era is not None and after > self.revision):
             return web.Response(status=410)
         return web.json_response(
             {
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -5,13 +5,20 @@
 import msgspec
 from hypothesis import given, settings, strategies as st
 
-from burdockmill.messages.catalog import CatalogDelta, Departed, Registered
+from burdockmill.messages.catalog import (
+    CatalogDelta,
+    CatalogRequest,
+    Departed,
+    Registered,
+)
+from burdockmill.messages.store_position import StorePosition
 from burdockmill.tables.catalog import Catalog
 from tests.builders_forwarding import (
     make_delta,
     make_registration,
     make_single_route,
     make_tables,
+    request_from,
 )
 
 
@@ -118,7 +125,7 @@
 def test_a_host_that_is_far_behind_gets_a_whole_copy():
     catalog = Catalog()
     catalog.apply(make_delta(20, make_registration("u-1"), is_whole=True), 0.0)
-    offer = catalog.since(12, 0.0)
+    offer = catalog.since(CatalogRequest(StorePosition(0, 12)), 0.0)
     assert offer.is_whole
     behind = Catalog()
     behind.apply(make_delta(12, make_registration("u-0")), 0.0)
@@ -171,7 +178,7 @@
         applied = host.tables.version if host.tables else 0
         assert applied >= version
         version = applied
-    host.apply(store.since(host.revision, 0.0), 0.0)
+    host.apply(store.since(request_from(host), 0.0), 0.0)
     assert host.revision == store.revision
     assert state_of(host) == state_of(store)
 
@@ -191,10 +198,10 @@
     third = make_delta(30, base=10, tables=tables(3, "a", "c"), tables_revision=30)
     difference = sender.with_tables_delta(third)
     sender.apply(third, 2.0)
-    assert difference.tables_delta.base == 10
+    assert difference.tables_delta.base == 1
     receiver.apply(difference, 3.0)
     assert receiver.revision == 20
-    receiver.apply(sender.since(receiver.revision, 4.0), 4.0)
+    receiver.apply(sender.since(request_from(receiver), 4.0), 4.0)
     assert receiver.revision == 30
     assert receiver.tables.version == 3
     assert receiver.routes.find("leave.example", "/c/x") is not None
@@ -218,7 +225,7 @@
         if rng.random() < 0.6:
             continue
         reader = rng.choice(hosts)
-        read = store.since(reader.revision, 0.0)
+        read = store.since(request_from(reader), 0.0)
         difference = reader.with_tables_delta(read)
         reader.apply(read, 0.0)
         for host in hosts:
@@ -226,7 +233,7 @@
                 continue
             host.apply(difference, 0.0)
             if host.revision < difference.revision and rng.random() < 0.7:
-                host.apply(reader.since(host.revision, 0.0), 0.0)
+                host.apply(reader.since(request_from(host), 0.0), 0.0)
         for host in hosts:
             stored_version = host.tables.version if host.tables else 0
             assert stored_version >= version_at[host.revision]
--- a/tests/test_catalog_reader.py
+++ b/tests/test_catalog_reader.py
@@ -46,7 +46,8 @@
         if not self.answers:
             raise StoreError("no response")
         self.watches += 1
-        return make_delta(after + 1, make_registration(f"u-{after}"), base=after)
+        changed = make_registration(f"u-{after.revision}")
+        return make_delta(after.revision + 1, changed, base=after.revision)
 
     async def close(self):
         pass
--- a/tests/test_catalog_spread.py
+++ b/tests/test_catalog_spread.py
@@ -131,3 +131,60 @@
     fleet.run(1_500)
     assert fleet.world("krk-a-1").catalog.revision == 5
     assert fleet.world("krk-a-1").catalog.tables.version == 5
+
+
+def era_copy(era, revision, version, *names):
+    registrations = [make_registration(name) for name in names]
+    tables = {"tables": make_tables(version), "tables_revision": revision}
+    whole = make_delta(revision, *registrations, is_whole=True, era=era, **tables)
+    return whole._replace(grace_ms=2_300.0)
+
+
+def positions(fleet):
+    return {fleet.world(host).catalog.position for host in fleet.live}
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.05, 0.2])
+@pytest.mark.parametrize("per_domain", [3, 14])
+def test_an_era_read_in_one_domain_is_active_everywhere(fleet_of, loss, per_domain):
+    fleet = fleet_of(per_domain=per_domain)
+    start_with_revision_5(fleet)
+    fleet.links.loss = loss
+    read(fleet, first_reader(fleet, "krk-a"), era_copy(2, 3, 4, "u-1", "u-2"))
+    fleet.run(2 * LIMIT_MS)
+    assert positions(fleet) == {(2, 3)}
+    worlds = [fleet.world(host) for host in fleet.live]
+    assert all(one.catalog.tables.version == 5 for one in worlds)
+    assert all("u-2" in one.catalog.registration_by_upstream for one in worlds)
+
+
+def test_a_domain_that_missed_two_eras_ends_with_the_last(fleet_of):
+    fleet = fleet_of()
+    start_with_revision_5(fleet)
+    partitioned = [host for host in fleet.live if fleet.domain_by_host[host] == "gda-a"]
+    for host in partitioned:
+        fleet.links.group_by_host[host] = 1
+    read(fleet, partitioned[0], delta_to(6)._replace(base=5))
+    read(fleet, first_reader(fleet, "waw-a"), era_copy(2, 3, 4, "u-1"))
+    fleet.run(300)
+    read(fleet, first_reader(fleet, "waw-a"), era_copy(3, 2, 4, "u-1"))
+    fleet.run(2_000)
+    fleet.links.group_by_host.clear()
+    fleet.run(8_000)
+    assert positions(fleet) == {(3, 2)}
+    versions = {host: fleet.world(host).catalog.tables.version for host in fleet.live}
+    assert all(versions[host] == 6 for host in partitioned)
+    assert min(versions.values()) >= 5
+
+
+def test_a_host_that_was_frozen_in_the_old_era_receives_the_new_one(fleet_of):
+    fleet = fleet_of()
+    start_with_revision_5(fleet)
+    frozen = next(host for host in fleet.live if fleet.domain_by_host[host] == "krk-a")
+    fleet.links.group_by_host[frozen] = 1
+    read(fleet, first_reader(fleet, "waw-a"), era_copy(2, 3, 4, "u-1"))
+    fleet.run(3_000)
+    read(fleet, frozen, delta_to(6))
+    fleet.links.group_by_host.clear()
+    fleet.run(8_000)
+    assert positions(fleet) == {(2, 3)}
--- a/tests/test_forwarding_node.py
+++ b/tests/test_forwarding_node.py
@@ -230,6 +230,37 @@
         )
 
 
+async def test_a_store_that_restarts_from_a_copy_is_read_whole_by_few_hosts():
+    async with Site(hosts=6) as site:
+        await site.ready()
+        nodes = site.nodes
+        await until(
+            lambda: all(node.engine.world.live_host_count() == 6 for node in nodes),
+            "all hosts discover each other",
+        )
+        site.publish(8)
+        copied = site.store.copy()
+        site.publish(9)
+        site.register("a", version="v2")
+        catalogs = [node.engine.world.catalog for node in nodes]
+        await until(lambda: all(one.version == 9 for one in catalogs), "version 9")
+        # Every host watches the store for itself once it is silent for long enough.
+        site.store.refusal = 503
+        await asyncio.sleep(2.0)
+        before = site.store.calls_by_path["/kv-range"]
+        site.store.restart_from(copied)
+        site.store.refusal = None
+        await until(
+            lambda: all(one.era == 1 for one in catalogs), "all are in era 1", 4.0
+        )
+        assert all(one.version == 9 for one in catalogs)
+        # Two calls read the configuration and the registrations.
+        assert site.store.calls_by_path["/kv-range"] - before <= 3 * 2
+        site.publish(10)
+        await until(lambda: all(one.version == 10 for one in catalogs), "version 10")
+        assert {one.position for one in catalogs} == {(1, site.store.revision)}
+
+
 async def test_a_graceful_stop_answers_received_requests_and_closes_idle_connections(
     site,
 ):
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -3,6 +3,7 @@
 import pytest
 
 from burdockmill.clients.catalog_source import HistoryLostError, StoreError
+from burdockmill.messages.store_position import StorePosition
 from burdockmill.platform.store_source import StoreSource
 from tests.builders_platform import (
     StandinStore,
@@ -57,14 +58,14 @@
     store.put("servers/u-2", entry_of("a", "127.0.0.1:9002", state="draining"))
     store.remove("servers/u-1")
     store.put("some/other-key", {"not": "ours"})
-    delta = await source.watch(before, 1_000)
+    delta = await source.watch(StorePosition(0, before), 1_000)
     assert [change.registration.draining for change in delta.registered] == [True]
     assert [change.upstream for change in delta.departed] == ["u-1"]
     assert (delta.base, delta.revision) == (before, store.revision)
 
 
 async def test_a_watch_without_changes_returns_an_empty_delta(store, source):
-    delta = await source.watch(store.revision, 20)
+    delta = await source.watch(StorePosition(0, store.revision), 20)
     assert delta.registered == delta.departed == ()
     assert delta.tables is None
 
@@ -100,7 +101,7 @@
 async def test_a_malformed_configuration_keeps_the_last_one(store, source):
     before = store.revision
     store.put("op/config", {"version": "seven"})
-    delta = await source.watch(before, 100)
+    delta = await source.watch(StorePosition(0, before), 100)
     assert delta.tables is None
     assert source.counts["malformed_configurations"] == 1
 
@@ -110,14 +111,14 @@
     store.put("servers/u-1", entry_of("a", "127.0.0.1:9001"))
     store.compact()
     with pytest.raises(HistoryLostError):
-        await source.watch(before, 100)
+        await source.watch(StorePosition(0, before), 100)
 
 
 @pytest.mark.parametrize("refusal", [429, 503, "reset"])
 async def test_a_refusal_is_an_error_and_counted(store, source, refusal):
     store.refusal = refusal
     with pytest.raises(StoreError):
-        await source.watch(1, 100)
+        await source.watch(StorePosition(0, 1), 100)
     assert source.counts["failed_calls"] == 1
 
 
@@ -125,7 +126,7 @@
     monkeypatch.setattr("burdockmill.platform.store_source.WATCH_MARGIN_MS", 50.0)
     store.refusal = "silent"
     with pytest.raises(StoreError):
-        await source.watch(1, 50)
+        await source.watch(StorePosition(0, 1), 50)
     with pytest.raises(StoreError):
         await source.read_all(50.0)
     store.refusal = None
