Obey upstreams that say they are leaving or ask for a pause

Cause: an upstream that leaves says so in its answers, often before its registration does, and one that rejects with 503 may ask for a pause; both were ignored, so hedges, retries and copies went on to it. Change: upstream notices, by incarnation, exclude paused upstreams from every choice, and leaving ones but for a last resort of 0.4 of the change limit. A request that cannot be served is refused before any part of it is sent, with the time at which enough shards accept requests again, spread over a tenth of the pause.

--- a/burdockmill/_forwarding_reports.py
+++ b/burdockmill/_forwarding_reports.py
@@ -62,6 +62,10 @@
                     "draining": registration.draining,
                     "departing": registration.upstream
                     in catalog.removal_ms_by_upstream,
+                    "leaving": node.data_path.notices.is_leaving(registration),
+                    "pause_ms": round(
+                        node.data_path.notices.pause_ms(registration, now_ms)
+                    ),
                     **node.data_path.observations.of(registration.upstream).status(
                         now_ms
                     ),
@@ -83,6 +87,7 @@
         metrics.set_event_counts("decisions", node.decisions.counts)
         metrics.set_event_counts("forwarding", node.data_path.forwarder.counts)
         metrics.set_event_counts("repeats", node.data_path.budget.counts)
+        metrics.set_event_counts("notices", node.data_path.notices.counts)
         if node.log_writer is not None:
             left_out_counts = {"lines_left_out_by_reader": node.log_writer.left_out}
             metrics.set_event_counts("log", left_out_counts)
--- a/burdockmill/forwarding/data_path.py
+++ b/burdockmill/forwarding/data_path.py
@@ -11,6 +11,7 @@
 from burdockmill.forwarding.observations import Observations
 from burdockmill.forwarding.planner import Planner
 from burdockmill.forwarding.request_log import RequestLog
+from burdockmill.forwarding.upstream_notices import UpstreamNotices
 from burdockmill.forwarding.weighted_choice import WeightedChoices
 from burdockmill.policies.connection_share import connection_share, keeps_idle
 from burdockmill.policies.repeat_budget import RepeatBudget, RepeatLimits
@@ -32,6 +33,9 @@
 
 # Connection limit of an upstream whose service has no bounds in the configuration.
 DEFAULT_CONNECTIONS = 16
+# For this fraction of `change_limit_ms` an upstream that says it is leaving still gets
+# requests that no other can serve.
+LAST_RESORT_FRACTION = 0.4
 
 
 class DataPath:
@@ -50,6 +54,7 @@
         self._world = world
         self._clock = clock
         self.observations = Observations()
+        self.notices = UpstreamNotices(settings.change_limit_ms * LAST_RESORT_FRACTION)
         self.budget = RepeatBudget(repeat_limits(settings), clock.now_ms())
         self._started_ms = clock.now_ms()
         self.client = ForwardingClient(codec, clock, self._host_limit, self._keeps_idle)
@@ -61,10 +66,11 @@
             settings.region_by_domain,
             self.observations,
             world.catalog.removal_ms_by_upstream,
+            self.notices,
             self.client.connection_state,
         )
         self._planner = Planner(
-            self._replicas_of, choice, self.budget, self.observations
+            self._replicas_of, choice, self.budget, self.observations, self.notices
         )
         log = RequestLog(world, self._planner, decisions, metrics, flush_soon)
         self.forwarder = Forwarder(
@@ -80,6 +86,7 @@
     def apply(self, settings: ForwardingSettings) -> None:
         """Apply changed limits of repeat attempts."""
         self.budget.limits = repeat_limits(settings)
+        self.notices.last_resort_ms = settings.change_limit_ms * LAST_RESORT_FRACTION
 
     def follow_hosts(self, now_ms: float) -> None:
         """Divide budgets and connections among the hosts that are alive now."""
--- a/burdockmill/forwarding/failures.py
+++ b/burdockmill/forwarding/failures.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from burdockmill.errors import (
     BurdockmillError,
@@ -11,6 +11,7 @@
     Ran,
     UpstreamFailedError,
 )
+from burdockmill.names import RequestId
 from burdockmill.policies.return_time import choose_retry_after_ms
 
 if TYPE_CHECKING:
@@ -20,15 +21,26 @@
     from burdockmill.forwarding.part_run import PartRun
 
 
-def refusal(lost: Iterable[PartRun], remaining_ms: float) -> BurdockmillError:
-    """Return the refusal of a request that no upstream has run.
+class Outlook(NamedTuple):
+    """Store what decides when a client may return; times in milliseconds.
 
-    `remaining_ms` is the client's remaining time in milliseconds.
+    `remaining_ms` is the client's remaining time, and `pause_ms` how long the upstreams
+    accept no requests.
     """
+
+    request_id: RequestId
+    remaining_ms: float
+    pause_ms: float
+
+
+def refusal(lost: Iterable[PartRun], outlook: Outlook) -> BurdockmillError:
+    """Return the refusal of a request that no upstream has run."""
     lost = list(lost)
     names = ", ".join(part.service for part in lost)
-    retry_after_ms = choose_retry_after_ms(remaining_ms)
-    if any(part.attempts for part in lost):
+    retry_after_ms = choose_retry_after_ms(
+        outlook.remaining_ms, outlook.pause_ms, outlook.request_id
+    )
+    if outlook.pause_ms > 0.0 or any(part.attempts for part in lost):
         return OverloadedError(
             f"No upstream of {names} accepts more requests.",
             retry_after_ms=retry_after_ms,
@@ -39,12 +51,9 @@
 
 
 def lost_answer(
-    part: PartRun, remaining_ms: float
+    part: PartRun, outlook: Outlook
 ) -> tuple[UpstreamAnswer | BurdockmillError, str]:
-    """Return the answer to a request whose only part is lost, and the reason.
-
-    `remaining_ms` is the client's remaining time in milliseconds.
-    """
+    """Return the answer to a request whose only part is lost, and the reason."""
     failure = part.failure()
     if failure is not None:
         return failure, "an upstream failed"
@@ -53,7 +62,7 @@
             f"The upstream's answer was lost: {part.lost}.", ran=Ran.UNKNOWN
         )
         return error, part.lost
-    return refusal([part], remaining_ms), "no upstream accepted it"
+    return refusal([part], outlook), "no upstream accepted it"
 
 
 def uncovered(lost: Iterable[PartRun]) -> BurdockmillError:
--- a/burdockmill/forwarding/forwarder.py
+++ b/burdockmill/forwarding/forwarder.py
@@ -163,6 +163,8 @@
         now_ms = forwarder.clock.now_ms()
         del self._sending_by_attempt[action.attempt]
         observations = forwarder.planner.observations
+        if forwarder.planner.notices.record(action.upstream, outcome, now_ms):
+            forwarder.log.noticed(self._run, action, outcome, now_ms)
         was_needed = not self._run.is_complete(action.part)
         end = outcome.end
         if end is AttemptEnd.NOT_SENT and not was_needed:
--- a/burdockmill/forwarding/messages.py
+++ b/burdockmill/forwarding/messages.py
@@ -97,12 +97,16 @@
     """Describe how an attempt ended; `detail` is for logs.
 
     `connecting_ms` is the time until the attempt had a connection, in milliseconds.
+    `is_leaving` is whether the upstream said that it is leaving. `pause_ms` is for how
+    long it wants no requests of this host, None if it did not say.
     """
 
     end: AttemptEnd
     answer: UpstreamAnswer | None = None
     detail: str = ""
     connecting_ms: float = 0.0
+    is_leaving: bool = False
+    pause_ms: float | None = None
 
 
 class ConnectionState(StrEnum):
--- a/burdockmill/forwarding/planner.py
+++ b/burdockmill/forwarding/planner.py
@@ -12,6 +12,7 @@
     from burdockmill.forwarding.messages import AttemptKind, Registration
     from burdockmill.forwarding.observations import Observations
     from burdockmill.forwarding.routes import Route
+    from burdockmill.forwarding.upstream_notices import UpstreamNotices
     from burdockmill.names import ServiceId, UpstreamId
     from burdockmill.policies.repeat_budget import RepeatBudget
     from burdockmill.policies.replica_choice import Candidate, ReplicaChoice
@@ -41,9 +42,11 @@
         choice: ReplicaChoice,
         budget: RepeatBudget,
         observations: Observations,
+        notices: UpstreamNotices,
     ) -> None:
         self.budget = budget
         self.observations = observations
+        self.notices = notices
         self._replicas_of = replicas_of
         self._choice = choice
 
@@ -70,7 +73,13 @@
         Upstreams that had an outage come first, then those that are closer than the
         chosen one and have had no attempt for a while.
         """
-        replicas = [one for one in self._replicas_of(service) if not one.draining]
+        replicas = [
+            one
+            for one in self._replicas_of(service)
+            if not one.draining
+            and not self.notices.is_leaving(one)
+            and self.notices.may_send(one, now_ms)
+        ]
         chosen_ms = None
         for replica in replicas:
             if replica.upstream == chosen:
@@ -85,6 +94,18 @@
                 return replica
         return None
 
+    def pause_ms(self, service: ServiceId, now_ms: float) -> float:
+        """Return after how long a service accepts requests again, in milliseconds.
+
+        It is 0 if any upstream accepts them now, or if none asked for a pause.
+        """
+        pauses_ms = (
+            self.notices.pause_ms(one, now_ms)
+            for one in self._replicas_of(service)
+            if not one.draining and not self.notices.is_leaving(one)
+        )
+        return min(pauses_ms, default=0.0)
+
     def hedge_delay_ms(
         self, route: Route, choice: Choice, remaining_ms: float
     ) -> float:
--- a/burdockmill/forwarding/request_log.py
+++ b/burdockmill/forwarding/request_log.py
@@ -25,6 +25,7 @@
     from burdockmill.world import World
 
 ANSWER, ATTEMPT, HEDGE, PROBE, RETRY = "answer", "attempt", "hedge", "probe", "retry"
+UPSTREAM = "upstream"
 PART_BY_KIND = {
     AttemptKind.HEDGE: HEDGE,
     AttemptKind.PROBE: PROBE,
@@ -88,6 +89,23 @@
         choice = f"{outcome.end.value} at {action.upstream.upstream}"
         self._write(ATTEMPT, run, choice, outcome.detail, inputs, now_ms)
 
+    def noticed(
+        self,
+        run: RequestRun,
+        action: SendAttempt,
+        outcome: AttemptOutcome,
+        now_ms: float,
+    ) -> None:
+        """Log that an upstream asked for no new work, or for a pause."""
+        inputs = {
+            "service": run.parts[action.part].service,
+            "leaving": outcome.is_leaving,
+            "pause_ms": _rounded(outcome.pause_ms),
+        }
+        reason = "it is leaving" if outcome.is_leaving else "it asked for a pause"
+        choice = f"no new attempts to {action.upstream.upstream}"
+        self._write(UPSTREAM, run, choice, reason, inputs, now_ms)
+
     def concluded(self, run: RequestRun, action: Conclude, now_ms: float) -> None:
         """Log the answer to a request, with all its attempts."""
         result = action.result
--- a/burdockmill/platform/upstream_codec.py
+++ b/burdockmill/platform/upstream_codec.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
+from loguru import logger
 from multidict import CIMultiDict
 
 from burdockmill.forwarding.codecs import UpstreamCodec
@@ -14,12 +16,14 @@
     Registration,
     UpstreamAnswer,
 )
-from burdockmill.platform.headers import end_to_end
+from burdockmill.platform.headers import end_to_end, first_value
 from burdockmill.platform.wire_names import (
     DEADLINE_MS,
     EXPECT_UPSTREAM,
+    LEAVING,
     NOT_RUN,
     REQUEST_ID,
+    RETRY_AFTER,
     STAMP,
 )
 
@@ -30,6 +34,11 @@
 
 OK_STATUSES = range(200, 300)
 MISDIRECTED = 421
+UNAVAILABLE = 503
+LEAVING_VALUE = "1"
+MILLISECONDS_PER_SECOND = 1_000.0
+# A longer pause is taken for a fault of the upstream.
+PAUSE_LIMIT_MS = 600_000.0
 MIN_DEADLINE_MS = 1
 
 
@@ -53,18 +62,45 @@
 
     def outcome(self, exchanged: HttpResponse) -> AttemptOutcome:
         """Return the outcome of an attempt from its complete response."""
+        outcome = _decode_end(exchanged)
+        if outcome.end is AttemptEnd.WRONG_INSTANCE:
+            # Another upstream answered; what it says of itself is not of this one.
+            return outcome
         headers = exchanged.headers
-        status = exchanged.status
-        detail = f"status {status}"
-        if status == MISDIRECTED:
-            return AttemptOutcome(AttemptEnd.WRONG_INSTANCE, detail=detail)
-        if NOT_RUN in headers:
-            return AttemptOutcome(AttemptEnd.NOT_RUN, detail=detail)
-        stamp = headers.get(STAMP, "")
-        if "Content-Encoding" in headers or not stamp:
-            return AttemptOutcome(AttemptEnd.WRONG_ANSWER, detail=detail)
-        answer = UpstreamAnswer(status, end_to_end(headers), exchanged.body, stamp)
-        end = AttemptEnd.ANSWERED
-        if status not in OK_STATUSES:
-            end = AttemptEnd.UPSTREAM_ERROR
-        return AttemptOutcome(end, answer, detail)
+        return outcome._replace(
+            is_leaving=first_value(headers, LEAVING) == LEAVING_VALUE,
+            pause_ms=_decode_pause_ms(exchanged),
+        )
+
+
+def _decode_end(exchanged: HttpResponse) -> AttemptOutcome:
+    headers = exchanged.headers
+    status = exchanged.status
+    detail = f"status {status}"
+    if status == MISDIRECTED:
+        return AttemptOutcome(AttemptEnd.WRONG_INSTANCE, detail=detail)
+    if NOT_RUN in headers:
+        return AttemptOutcome(AttemptEnd.NOT_RUN, detail=detail)
+    stamp = headers.get(STAMP, "")
+    if "Content-Encoding" in headers or not stamp:
+        return AttemptOutcome(AttemptEnd.WRONG_ANSWER, detail=detail)
+    answer = UpstreamAnswer(status, end_to_end(headers), exchanged.body, stamp)
+    end = AttemptEnd.ANSWERED
+    if status not in OK_STATUSES:
+        end = AttemptEnd.UPSTREAM_ERROR
+    return AttemptOutcome(end, answer, detail)
+
+
+def _decode_pause_ms(exchanged: HttpResponse) -> float | None:
+    """Return for how long the upstream wants no requests; None if it does not say."""
+    text = exchanged.headers.get(RETRY_AFTER)
+    if exchanged.status != UNAVAILABLE or text is None:
+        return None
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    if not seconds >= 0.0:
+        logger.warning("upstream: {} {!r} is not a time; ignored.", RETRY_AFTER, text)
+        return None
+    return min(seconds * MILLISECONDS_PER_SECOND, PAUSE_LIMIT_MS)
--- a/burdockmill/policies/answer_timing.py
+++ b/burdockmill/policies/answer_timing.py
@@ -6,12 +6,15 @@
 
 from __future__ import annotations
 
+from math import ceil
 from typing import NamedTuple
 
 # Time to merge the answer, write it and deliver it to the client.
 RESPONSE_DELIVERY_MS = 10.0
 # An answer is sent at the latest this long before the deadline, to arrive in time.
 DEADLINE_MARGIN_MS = 15.0
+# Fractions such as 0.9 of a shard count are not exact in binary floating point.
+COVERAGE_EPSILON = 1e-9
 
 
 class AnswerTimes(NamedTuple):
@@ -39,10 +42,6 @@
     return AnswerTimes(min(partial_ms, final_ms), final_ms)
 
 
-def is_enough(covered: int, total: int, least_coverage: float) -> bool:
-    """Return whether the covered shards suffice for an answer."""
-    return covered > 0 and covered >= least_coverage * total - COVERAGE_EPSILON
-
-
-# Fractions such as 0.9 of a shard count are not exact in binary floating point.
-COVERAGE_EPSILON = 1e-9
+def least_shards(total: int, least_coverage: float) -> int:
+    """Return how many shards an answer needs, at least one."""
+    return max(1, ceil(least_coverage * total - COVERAGE_EPSILON))
--- a/burdockmill/policies/replica_choice.py
+++ b/burdockmill/policies/replica_choice.py
@@ -19,6 +19,7 @@
 
     from burdockmill.forwarding.messages import Registration
     from burdockmill.forwarding.observations import Observation, Observations
+    from burdockmill.forwarding.upstream_notices import UpstreamNotices
     from burdockmill.names import DomainId, HostId, UpstreamId
 
 # Expected latencies of an upstream that has not answered yet, by its location.
@@ -41,10 +42,11 @@
 STALL_FLOOR_MS = 10.0
 HASH_VALUES = 2**64
 PREFERENCE_CACHE_SIZE = 8_192
-# Penalties: a departing upstream is chosen only if all others are avoided, and an
-# avoided one only if there is no other.
+# Penalties: a departing upstream is chosen only if all others are avoided, an avoided
+# one only if there is no other, and one that said it is leaving after all of these.
 DEPARTING_PENALTY_MS = 1_000.0
 AVOIDED_PENALTY_MS = 10_000.0
+LEAVING_PENALTY_MS = 20_000.0
 
 
 class Candidate(NamedTuple):
@@ -86,6 +88,7 @@
         region_by_domain: Mapping[DomainId, str],
         observations: Observations,
         departing: Mapping[UpstreamId, float],
+        notices: UpstreamNotices,
         state_of: Callable[[Registration], ConnectionState],
     ) -> None:
         self._host = host
@@ -96,6 +99,7 @@
         } | {domain}
         self._observations = observations
         self._departing = departing
+        self._notices = notices
         self._state_of = state_of
 
     def rank(
@@ -109,7 +113,9 @@
         ranked = [
             Candidate(one, self._expected_ms(one, is_idempotent, now_ms))
             for one in replicas
-            if not one.draining and one.upstream not in excluded
+            if not one.draining
+            and one.upstream not in excluded
+            and self._notices.may_send(one, now_ms)
         ]
         if len(ranked) > 1:
             ranked.sort(key=lambda candidate: candidate.expected_ms)
@@ -149,6 +155,8 @@
             expected_ms += AVOIDED_PENALTY_MS
         if replica.upstream in self._departing:
             expected_ms += DEPARTING_PENALTY_MS
+        if self._notices.is_leaving(replica):
+            expected_ms += LEAVING_PENALTY_MS
         return expected_ms
 
     def _connecting_ms(self, replica: Registration, base_ms: float) -> float:
--- a/burdockmill/policies/return_time.py
+++ b/burdockmill/policies/return_time.py
@@ -2,16 +2,48 @@
 
 Load pattern: the upstreams of a service are full for a moment. A client that retries
 within a third of its remaining time can still be served; a later retry is too late.
+When all upstreams of a service asked for a pause, nothing can be served before it ends;
+many clients are refused meanwhile, and would all return at that moment.
 """
 
 from __future__ import annotations
 
+from math import ceil
+from typing import TYPE_CHECKING
+
+from xxhash import xxh3_64_intdigest
+
+if TYPE_CHECKING:
+    from burdockmill.names import RequestId
+
 # A few slots process a short burst of requests in about this time.
 MAX_WAIT_MS = 40
 # Clients obey a wait of at most this fraction of their remaining time.
 REMAINING_FRACTION = 0.3
 
 
-def choose_retry_after_ms(remaining_ms: float) -> int:
-    """Return the wait in milliseconds of a client that has `remaining_ms` left."""
+# Clients return after a pause within this fraction of its length.
+SPREAD_FRACTION = 0.1
+HASH_VALUES = 2**64
+
+
+def pause_until_enough_ms(pauses_ms: list[float], needed: int) -> float:
+    """Return when `needed` of the paused services accept requests again.
+
+    `pauses_ms` are the remaining times of their pauses; 0 if none is needed.
+    """
+    return sorted(pauses_ms)[needed - 1] if 0 < needed <= len(pauses_ms) else 0.0
+
+
+def choose_retry_after_ms(
+    remaining_ms: float, pause_ms: float = 0.0, request_id: RequestId = ""
+) -> int:
+    """Return the wait in milliseconds of a client that has `remaining_ms` left.
+
+    `pause_ms` is how long the upstreams accept nothing; the request's id spreads the
+    returns of different clients after it.
+    """
+    if pause_ms > 0.0:
+        spread = xxh3_64_intdigest(request_id.encode()) / HASH_VALUES
+        return ceil(pause_ms * (1.0 + SPREAD_FRACTION * spread))
     return max(1, min(MAX_WAIT_MS, int(remaining_ms * REMAINING_FRACTION)))
--- a/tests/test_forwarding_node.py
+++ b/tests/test_forwarding_node.py
@@ -94,6 +94,53 @@
     assert body["ran"] == "no"
 
 
+async def test_a_service_that_asked_for_a_pause_is_refused_until_it_ends(site):
+    upstream = site.upstream_by_service["c"]
+
+    async def script(self, request, writer):
+        extra = "X-Burdockmill-Not-Executed: 1\r\nRetry-After: 0.6\r\n"
+        writer.write(self.answer(request, b"", "503 Busy", extra))
+
+    upstream.script = script
+    client = site.client()
+    assert (await client.ask("/once/x", method="POST")).status == 503
+    upstream.script = None
+    arrived = len(upstream.requests)
+    answer = await client.ask("/fetch/x", deadline_ms=3_000)
+    assert answer.status == 503
+    assert 0.3 < float(answer.headers["retry-after"]) < 0.7
+    assert len(upstream.requests) == arrived
+    await asyncio.sleep(float(answer.headers["retry-after"]))
+    assert (await client.ask("/fetch/x", deadline_ms=3_000)).status == 200
+
+
+async def test_an_upstream_that_says_it_is_leaving_gets_no_work_after_a_while():
+    async with Site(change_limit_ms=1_000) as site:
+        await site.ready()
+        upstream = site.upstream_by_service["c"]
+
+        async def script(self, request, writer):
+            writer.write(self.answer(request, extra="Server-Leaving: 1\r\n"))
+
+        upstream.script = script
+        client = site.client()
+        assert (await client.ask("/fetch/x")).status == 200
+        # No other upstream serves the route, so it is used for a little longer.
+        assert (await client.ask("/fetch/x")).status == 200
+        await asyncio.sleep(0.45)
+        arrived = len(upstream.requests)
+        answer = await client.ask("/fetch/x")
+        assert answer.status == 503
+        assert json.loads(answer.body)["ran"] == "no"
+        assert len(upstream.requests) == arrived
+        # The same address serves another incarnation.
+        upstream.script = None
+        site.register("c", born=1_784_828_200_000)
+        catalog = site.nodes[0].engine.world.catalog
+        await until(lambda: catalog.revision == site.store.revision, "it registers")
+        assert (await client.ask("/fetch/x")).status == 200
+
+
 async def test_the_disconnection_of_a_client_cancels_its_request(site):
     upstream = site.upstream_by_service["c"]
     upstream.delay_s = 5.0
