Load less at the start on the platform, and log how long the start took

The start's line says how long loading and the rest took. Tests run Python with the deploy file's options. Also two tests that hand-made faults had passed by: a probe to a paused upstream, and reads of a new era by all hosts at once.

--- a/burdockmill/forwarding_node.py
+++ b/burdockmill/forwarding_node.py
@@ -80,6 +80,7 @@
         log_writer: LineWriter | None = None,
         clock: Clock | None = None,
         ingress_socket: socket | None = None,
+        process_started_ms: float | None = None,
     ) -> None:
         self.settings = settings
         self.clock = clock or BootClock()
@@ -91,6 +92,8 @@
         self.log_writer = log_writer
         self.source = source
         self._ingress_socket = ingress_socket
+        self._created_ms = self.clock.now_ms()
+        self._process_started_ms = process_started_ms or self._created_ms
         rng = random.Random()
         ring = Ring()
         self.engine = make_fleet_engine(settings.host, settings.domain, rng, ring)
@@ -180,11 +183,14 @@
         ready = ready_app(lambda: self.ready)
         await self._open_listener("ready", ready, settings.ready_address)
         logger.info(
-            "node: {} of {} serves clients on {}, peers on {}.",
+            "node: {} of {} serves clients on {}, peers on {}; loading took {:.0f} ms "
+            "and the rest of the start {:.0f} ms.",
             settings.host,
             settings.domain,
             settings.ingress_address,
             settings.peer_address,
+            self._created_ms - self._process_started_ms,
+            self.clock.now_ms() - self._created_ms,
         )
 
     async def stop(self) -> None:
--- a/burdockmill/platform/__main__.py
+++ b/burdockmill/platform/__main__.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import gc
+import time
 
 from burdockmill.platform.early_listen import listen_early
 
 if __name__ == "__main__":
+    # The clock of BootClock, which is loaded later.
+    started_ms = time.clock_gettime(time.CLOCK_BOOTTIME) * 1_000.0
     ingress_socket = listen_early()
     # Loaded modules stay in memory: garbage collection during imports only takes time.
     gc.disable()
@@ -15,4 +18,4 @@
 
     gc.freeze()
     gc.enable()
-    main(ingress_socket)
+    main(ingress_socket, started_ms)
--- a/burdockmill/platform/daemon.py
+++ b/burdockmill/platform/daemon.py
@@ -31,10 +31,11 @@
 EXIT_BAD_SETTINGS = 2
 
 
-def main(ingress_socket: socket | None = None) -> None:
+def main(ingress_socket: socket | None = None, started_ms: float | None = None) -> None:
     """Serve until SIGTERM or SIGINT, with the file that SETTINGS_VARIABLE names.
 
-    `ingress_socket` is already listening for clients.
+    `ingress_socket` is already listening for clients, and `started_ms` is the time of
+    BootClock at which the process started.
     """
     path = _settings_path()
     settings = _read_settings(path)
@@ -44,7 +45,7 @@
 
     def make() -> ForwardingNode:
         nonlocal node
-        node = make_node(settings, writer, ingress_socket)
+        node = make_node(settings, writer, ingress_socket, started_ms)
         node.watch_settings(watch)
         return node
 
@@ -60,6 +61,7 @@
     settings: ForwardingSettings,
     writer: LineWriter,
     ingress_socket: socket | None = None,
+    started_ms: float | None = None,
 ) -> ForwardingNode:
     """Return a host that uses the platform's store and protocols."""
 
@@ -73,6 +75,7 @@
         PlatformUpstreamCodec(),
         writer,
         ingress_socket=ingress_socket,
+        process_started_ms=started_ms,
     )
     return node
 
--- a/tests/test_forwarding_policies.py
+++ b/tests/test_forwarding_policies.py
@@ -226,6 +226,11 @@
     assert departure_grace_ms(20, 30, None) == REGISTRATION_RENEWAL_MS
 
 
+def test_upstreams_that_a_copy_of_the_store_lacks_are_kept_for_a_while():
+    grace_ms = departure_grace_ms(1, 30, None, is_new_era=True)
+    assert grace_ms == REGISTRATION_RENEWAL_MS
+
+
 def test_connection_shares_leave_room_for_hosts_that_are_replaced():
     for hosts in (1, 3, 7, 9, 12):
         assert connection_share(26, hosts) * (hosts + 1) <= 26
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -1,15 +1,24 @@
 import asyncio
 import os
 import signal
+import site
 import subprocess
 import sys
+import tomllib
+from pathlib import Path
 
 import pytest
 
 from burdockmill.fast_start_service import run_until_stopped
+from burdockmill.platform.daemon import EXIT_BAD_SETTINGS
+
+DEPLOY_FILE = Path(__file__).parents[1] / "deploy" / "system.toml"
+PACKAGE_FOLDERS = site.getsitepackages()
 
 # Each takes tens of milliseconds to import, and no forwarded request needs it.
 UNNEEDED_MODULES = (
+    "site",
+    "certifi",
     "aiomisc",
     "typer",
     "rich",
@@ -38,11 +47,31 @@
         self.steps.append("stops")
 
 
+def run_as_deployed(*arguments):
+    """Run Python with the options and the variables of the deploy file."""
+    deployed = tomllib.loads(DEPLOY_FILE.read_text())["roles"]["host"]
+    options = deployed["run"].split()[1 : deployed["run"].split().index("-m")]
+    paths = os.pathsep.join((str(DEPLOY_FILE.parents[1]), *PACKAGE_FOLDERS))
+    env = os.environ | deployed["env"] | {"PYTHONPATH": paths}
+    env.pop("BURDOCKMILL_CONFIG", None)
+    return subprocess.run(
+        [sys.executable, *options, *arguments],
+        capture_output=True,
+        text=True,
+        env=env,
+        check=False,
+    )
+
+
+def test_the_deployed_command_needs_only_the_declared_packages():
+    run = run_as_deployed("-m", "burdockmill.platform")
+    assert run.returncode == EXIT_BAD_SETTINGS
+    assert "BURDOCKMILL_CONFIG is not set" in run.stderr
+
+
 def test_a_platform_host_imports_no_unneeded_module():
     code = "import burdockmill.platform.daemon, sys; print(*sys.modules)"
-    run = subprocess.run(
-        [sys.executable, "-c", code], capture_output=True, text=True, check=True
-    )
+    run = run_as_deployed("-c", code)
     loaded = set(run.stdout.split())
     assert "burdockmill.forwarding_node" in loaded
     assert loaded.isdisjoint(UNNEEDED_MODULES)
--- a/tests/test_upstream_notices.py
+++ b/tests/test_upstream_notices.py
@@ -169,9 +169,11 @@
         notices.record(one, BUSY, 0.0)
         observation = planner.observations.of(one.upstream)
         observation.started(99, 0.0)
-        observation.ended(99, AttemptEnd.SILENT, 0.0)
-    run = Run(make_single_route(), planner)
-    for now_ms in range(10, 700, 10):
+        observation.ended(99, AttemptEnd.NOT_SENT, 0.0)
+    # Their outages are over, so they would be probed.
+    request = make_request(received_ms=500.0)
+    run = Run(make_single_route(), planner, request, now_ms=500.0)
+    for now_ms in range(510, 700, 10):
         run.tick(float(now_ms))
     run.end(0, AttemptOutcome(AttemptEnd.BROKEN), 700.0)
     assert len(run.sent) == 1
