--- /dev/null
+++ b/tests/builders_platform_processes.py
@@ -0,0 +1,109 @@
+"""Run hosts of the users' platform as processes, against stand-ins in the test."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+
+from aiohttp import ClientSession
+
+from tests.builders_forwarding_node import Client, until
+from tests.builders_platform import SETTINGS
+
+OPERATOR_PORT = 9_464
+START_LIMIT_S = 20.0
+
+
+def free_address_of(ip):
+    with socket.socket() as sock:
+        sock.bind((ip, 0))
+        return f"{ip}:{sock.getsockname()[1]}"
+
+
+class HostProcess:
+    """Run one host on a loopback address of its own."""
+
+    def __init__(self, number, store, folder):
+        self.ip = f"127.0.64.{number}"
+        self.ingress, self.ready, self.peer = (
+            free_address_of(self.ip) for _ in range(3)
+        )
+        self._store = store
+        self._path = folder / f"boot-{number}.conf"
+        self.process = None
+        self.lines = []
+        self._reading = None
+        self._clients = []
+
+    async def start(self, seeds):
+        replaced = {
+            "ip=127.0.0.1": f"ip={self.ip}",
+            "seeds=127.0.0.1:8224,127.0.0.2:8224": f"seeds={','.join(seeds)}",
+            "127.0.0.1:8226": self.ingress,
+            "127.0.0.1:8227": self.ready,
+            "127.0.0.1:8224": self.peer,
+            "127.0.0.1:8229": self._store.address,
+            "grace-s=6": "grace-s=1",
+        }
+        text = SETTINGS
+        for before, after in replaced.items():
+            text = text.replace(before, after)
+        self._path.write_text(text)
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "burdockmill.platform",
+            env={**os.environ, "BURDOCKMILL_CONFIG": str(self._path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self._reading = asyncio.create_task(self._read_lines())
+        await until(lambda: self.logged("serves clients"), "it serves", START_LIMIT_S)
+
+    async def stop(self):
+        """End the process if it still runs, and close its clients."""
+        for client in self._clients:
+            client.close()
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+        if self._reading is not None:
+            await self._reading
+
+    def pause(self):
+        self.process.send_signal(signal.SIGSTOP)
+
+    def resume(self):
+        self.process.send_signal(signal.SIGCONT)
+
+    def logged(self, text):
+        return any(text in line["message"] for line in self.lines)
+
+    def client(self):
+        client = Client(self.ingress)
+        self._clients.append(client)
+        return client
+
+    async def status(self):
+        url = f"http://{self.ip}:{OPERATOR_PORT}/v1/status"
+        async with ClientSession() as session, session.get(url) as response:
+            return await response.json()
+
+    async def _read_lines(self):
+        async for line in self.process.stdout:
+            self.lines.append(json.loads(line))
+
+
+async def until_status(hosts, holds, what, limit_s=8.0):
+    """Wait until the status of every host fulfils a condition."""
+    statuses = []
+    try:
+        async with asyncio.timeout(limit_s):
+            while True:
+                statuses = [await host.status() for host in hosts]
+                if all(holds(status) for status in statuses):
+                    return
+                await asyncio.sleep(0.05)
+    except TimeoutError:
+        raise AssertionError(f"not within {limit_s} s: {what}; {statuses}") from None
