Give tests loopback addresses that no other process binds

The new host processes also had fixed addresses, so that two test runs would have met on the operators' port. Change: addresses of the test process itself, each given once, for hosts in one process and as processes; a wait that times out says what it waited for.

--- a/tests/builders_forwarding_node.py
+++ b/tests/builders_forwarding_node.py
@@ -1,7 +1,6 @@
 """Run hosts that forward requests, against stand-ins of store and upstreams."""
 
 import asyncio
-import socket
 from contextlib import AsyncExitStack
 
 from burdockmill.clock import MonotonicClock
@@ -10,6 +9,7 @@
 from burdockmill.platform.ingress_codec import PlatformIngressCodec
 from burdockmill.platform.store_source import StoreSource
 from burdockmill.platform.upstream_codec import PlatformUpstreamCodec
+from tests.builders_addresses import free_address
 from tests.builders_forwarding import REGIONS
 from tests.builders_platform import (
     StandinStore,
@@ -21,16 +21,13 @@
 )
 
 
-def free_address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
 async def until(holds, what, limit_s=8.0):
-    async with asyncio.timeout(limit_s):
-        while not holds():
-            await asyncio.sleep(0.01)
+    try:
+        async with asyncio.timeout(limit_s):
+            while not holds():
+                await asyncio.sleep(0.01)
+    except TimeoutError:
+        raise AssertionError(f"not within {limit_s} s: {what}") from None
 
 
 class Answer:
--- a/tests/builders_platform_processes.py
+++ b/tests/builders_platform_processes.py
@@ -4,32 +4,27 @@
 import json
 import os
 import signal
-import socket
 import sys
 
 from aiohttp import ClientSession
 
+from tests.builders_addresses import free_address, loopback_ip_of
 from tests.builders_forwarding_node import Client, until
 from tests.builders_platform import SETTINGS
 
 OPERATOR_PORT = 9_464
+# Hosts of other builders have lower addresses.
+FIRST_INDEX = 200
 START_LIMIT_S = 20.0
 
 
-def free_address_of(ip):
-    with socket.socket() as sock:
-        sock.bind((ip, 0))
-        return f"{ip}:{sock.getsockname()[1]}"
-
-
 class HostProcess:
     """Run one host on a loopback address of its own."""
 
     def __init__(self, number, store, folder):
-        self.ip = f"127.0.64.{number}"
-        self.ingress, self.ready, self.peer = (
-            free_address_of(self.ip) for _ in range(3)
-        )
+        index = FIRST_INDEX + number
+        self.ip = loopback_ip_of(index)
+        self.ingress, self.ready, self.peer = (free_address(index) for _ in range(3))
         self._store = store
         self._path = folder / f"boot-{number}.conf"
         self.process = None
--- a/tests/builders_processes.py
+++ b/tests/builders_processes.py
@@ -5,7 +5,6 @@
 import asyncio
 import hashlib
 import json
-import os
 import re
 import signal
 import sys
@@ -18,6 +17,7 @@
 from burdockmill.standins.platform import StandinPlatform
 from burdockmill.standins.record_set import RecordSet
 from burdockmill.standins.upstream import StandinUpstream
+from tests.builders_addresses import loopback_ip_of
 
 ROOT = Path(__file__).parent.parent
 DOMAINS = ("waw-a", "krk-a", "gda-a")
@@ -49,12 +49,6 @@
         raise AssertionError(f"timed out waiting until: {what}") from None
 
 
-def loopback_ip_of(index):
-    """Return a loopback address that no other test run uses."""
-    pid = os.getpid()
-    return f"127.{64 + (pid >> 8) % 64}.{pid % 256}.{index + 1}"
-
-
 class HostProcess:
     """Run one host as a process; it keeps its addresses over restarts."""
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -1,6 +1,5 @@
 import asyncio
 import hashlib
-import socket
 
 import msgspec
 import pytest
@@ -23,6 +22,7 @@
 from burdockmill.messages.peer import PeerBatch, PeerMessage, Reason, WorkCancel
 from burdockmill.rules.model import RequestKind
 from burdockmill.slots import FULL_RANGE, SlotRange, slot_of
+from tests.builders_addresses import free_address
 from tests.builders_wire import (
     action_body,
     make_send,
@@ -54,12 +54,6 @@
     assert bench.events.empty()
 
 
-def free_address():
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{listener.getsockname()[1]}"
-
-
 async def test_search_answer_is_passed_on_with_the_deadline_sent(bench):
     async with RawServer(http_reply(search_body())) as server:
         event = await bench.outcome(server, make_send(server.address))
--- a/tests/test_forwarding_node.py
+++ b/tests/test_forwarding_node.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from tests.builders_forwarding_node import Site, free_address, until
+from tests.builders_addresses import free_address
+from tests.builders_forwarding_node import Site, until
 from tests.builders_platform import search_route, single_route
 
 
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -13,7 +13,7 @@
 from burdockmill.platform import daemon
 from burdockmill.platform.early_listen import listen_early
 from burdockmill.platform.settings_file import parse_platform_settings
-from tests.builders_forwarding_node import free_address
+from tests.builders_addresses import free_address
 from tests.builders_platform import SETTINGS
 
 ROOT = Path(__file__).parent.parent
--- a/tests/test_settings_watch.py
+++ b/tests/test_settings_watch.py
@@ -10,7 +10,8 @@
 
 from burdockmill.platform.settings_file import parse_platform_settings
 from burdockmill.settings_watcher import SettingsWatcher
-from tests.builders_forwarding_node import Site, free_address, until
+from tests.builders_addresses import free_address
+from tests.builders_forwarding_node import Site, until
 from tests.builders_platform import (
     SETTINGS,
     StandinStore,
