--- a/tests/test_forwarding_policies.py
+++ b/tests/test_forwarding_policies.py
@@ -434,3 +434,25 @@
     near = sum(action.upstream.domain == "waw-a" for action in firsts)
     assert near <= 3
     assert replay.in_time() > 0.95
+
+
+def expected_by_domain(planner, service="shard-0"):
+    ranked = planner.rank_for_search(service, 0.0)
+    return {one.registration.domain: one.expected_ms for one in ranked}
+
+
+def test_an_untried_upstream_is_expected_to_work_as_long_as_the_others():
+    planner = make_planner()
+    planner.observations.of("shard-0@waw-a").latency_ms = 60.0
+    expected = expected_by_domain(planner)
+    assert min(expected, key=expected.get) == "waw-a"
+    assert expected["krk-a"] > 60.0 + 20.0
+
+
+def test_a_slow_upstream_does_not_make_untried_ones_look_slow():
+    planner = make_planner()
+    planner.observations.of("shard-0@waw-a").latency_ms = 400.0
+    planner.observations.of("shard-0@krk-a").latency_ms = 75.0
+    expected = expected_by_domain(planner)
+    assert expected["gda-a"] < 90.0
+    assert max(expected, key=expected.get) == "waw-a"
