--- a/measure/platform_days.py
+++ b/measure/platform_days.py
@@ -66,8 +66,8 @@
 # The days of these sites are run one by one.
 SITES_RUN_BY_DAY = ("tethermill-grown", "urlop-szukaj-grown")
 QUIET = "quiet"
-# Options that leave out part of a day or run a different one.
-PARTIAL_OPTIONS = {"--until", "--no-cpu", "--small", "--seed", "--vary"}
+# Options that leave out days or part of a day, or run a different one.
+PARTIAL_OPTIONS = {"--until", "--no-cpu", "--small", "--seed", "--vary", "--quick"}
 # The figure and unit of each cost of a day, by its name in the journal.
 FIGURE_BY_COST_NAME = {
     "processor seconds": ("processor_s", "s"),
@@ -91,7 +91,9 @@
             day for day in entry["days"] if not day["name"].startswith("fresh-")
         ]
         for entry in entries
-        if entry.get("cmd") == "score" and entry.get("score") is not None
+        if entry.get("cmd") == "score"
+        and entry.get("score") is not None
+        and _is_complete(entry)
     }
 
 
@@ -99,10 +101,9 @@
     """Return the newest complete run of each standard day of the large sites."""
     days: dict[str, dict[str, dict[str, Any]]] = {}
     for entry in entries:
-        is_complete = not PARTIAL_OPTIONS.intersection(entry.get("argv", ()))
         if (
             entry.get("cmd") == "run"
-            and is_complete
+            and _is_complete(entry)
             and entry["site"] in SITES_RUN_BY_DAY
         ):
             by_name = days.setdefault(entry["site"], {})
@@ -110,6 +111,10 @@
     return {site: list(by_name.values()) for site, by_name in days.items()}
 
 
+def _is_complete(entry: dict[str, Any]) -> bool:
+    return not PARTIAL_OPTIONS.intersection(entry.get("argv", ()))
+
+
 def figures_of(site: str, days: list[dict[str, Any]]) -> list[Figure]:
     """Return the figures of a site: those of each day and the mean worth."""
     baseline_by_day = BASELINE_BY_DAY.get(site, {})
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -55,3 +55,10 @@
     assert value_by_name["days.tethermill-grown.trouble-1.worth"] == 0.4
     mean = value_by_name["days.tethermill-grown.mean_of_trouble.worth"]
     assert mean == pytest.approx(0.5)
+
+
+def test_a_quick_score_does_not_replace_a_complete_one():
+    whole = run_entry("trouble-1", 0.5, cmd="score") | {"score": 0.8}
+    quick = run_entry("trouble-1", 0.9, "--quick", cmd="score") | {"score": 0.9}
+    [day] = platform_days.newest_scores([whole, quick])["tethermill-grown"]
+    assert day["G"] == 0.5
