Log the limits that upstreams name, and count them

An upstream's answer may name how many requests a second it takes from all hosts together. Nothing recorded that, so logs could not tell whether hosts ignore the limit or each apply the whole of it. A malformed value neither sets nor ends a limit; it is logged as a decision, which is bounded, as a malformed Retry-After is now too (it got a line for each answer). No choice depends on a limit yet.

--- a/burdockmill/_forwarding_reports.py
+++ b/burdockmill/_forwarding_reports.py
@@ -20,6 +20,7 @@
     from collections.abc import Mapping
 
     from burdockmill.explanation import Explanation
+    from burdockmill.forwarding.messages import Registration
     from burdockmill.forwarding_node import ForwardingNode
     from burdockmill.names import RequestId
 
@@ -63,6 +64,7 @@
                     "departing": registration.upstream
                     in catalog.removal_ms_by_upstream,
                     "leaving": node.data_path.notices.is_leaving(registration),
+                    "limit_per_s": _limit_of(node, registration),
                     "pause_ms": round(
                         node.data_path.notices.pause_ms(registration, now_ms)
                     ),
@@ -87,6 +89,7 @@
         metrics.set_event_counts("decisions", node.decisions.counts)
         metrics.set_event_counts("forwarding", node.data_path.forwarder.counts)
         metrics.set_event_counts("repeats", node.data_path.budget.counts)
+        metrics.set_event_counts("limits", world.limits.counts)
         metrics.set_event_counts("notices", node.data_path.notices.counts)
         if node.log_writer is not None:
             left_out_counts = {"lines_left_out_by_reader": node.log_writer.left_out}
@@ -114,6 +117,11 @@
             self._node.metrics.set_gauge(MEMBERS, count, state=state)
 
 
+def _limit_of(node: ForwardingNode, registration: Registration) -> float | None:
+    row = node.engine.world.limits.of(registration)
+    return None if row is None else row.limit_per_s
+
+
 def _state(node: ForwardingNode) -> str:
     if node.stopping:
         return "stopping"
--- a/burdockmill/clients/forwarding_client.py
+++ b/burdockmill/clients/forwarding_client.py
@@ -173,7 +173,8 @@
         self.counts[f"attempts_{outcome.end.value}"] += 1
         if attempt.written_ms is None:
             return outcome
-        return outcome._replace(connecting_ms=attempt.written_ms - attempt.started_ms)
+        connecting_ms = attempt.written_ms - attempt.started_ms
+        return outcome._replace(connecting_ms=connecting_ms, sent_ms=attempt.written_ms)
 
     def _pool_for(self, upstream: Registration) -> UpstreamPool:
         pool = self._pool_by_upstream.get(upstream.upstream)
--- a/burdockmill/forwarding/data_path.py
+++ b/burdockmill/forwarding/data_path.py
@@ -80,6 +80,7 @@
             self._choices,
             GreatestRecords(),
             self.client,
+            world.limits,
             log,
         )
 
--- a/burdockmill/forwarding/forwarder.py
+++ b/burdockmill/forwarding/forwarder.py
@@ -26,6 +26,7 @@
     from burdockmill.forwarding.weighted_choice import WeightedChoices
     from burdockmill.names import ServiceId
     from burdockmill.tables.catalog import Catalog
+    from burdockmill.tables.upstream_limits import UpstreamLimits
 
     Result = UpstreamAnswer | MergedAnswer
 
@@ -48,6 +49,7 @@
         choices: WeightedChoices,
         merge: MergePolicy,
         client: ForwardingClient,
+        limits: UpstreamLimits,
         log: RequestLog,
     ) -> None:
         self.counts: Counter[str] = Counter()
@@ -55,6 +57,7 @@
         self.clock = clock
         self.planner = planner
         self.client = client
+        self.limits = limits
         self.log = log
         self._catalog = catalog
         self._keys = count()
@@ -165,6 +168,13 @@
         observations = forwarder.planner.observations
         if forwarder.planner.notices.record(action.upstream, outcome, now_ms):
             forwarder.log.noticed(self._run, action, outcome, now_ms)
+        if outcome.ignored:
+            forwarder.counts["malformed_headers_ignored"] += 1
+            forwarder.log.ignored(self._run, action, outcome, now_ms)
+        if outcome.sent_ms is not None and forwarder.limits.record(
+            action.upstream, outcome.limit_per_s, outcome.sent_ms, now_ms
+        ):
+            forwarder.log.limited(self._run, action, outcome, now_ms)
         was_needed = not self._run.is_complete(action.part)
         end = outcome.end
         if end is AttemptEnd.NOT_SENT and not was_needed:
--- a/burdockmill/forwarding/messages.py
+++ b/burdockmill/forwarding/messages.py
@@ -98,7 +98,10 @@
 
     `connecting_ms` is the time until the attempt had a connection, in milliseconds.
     `is_leaving` is whether the upstream said that it is leaving. `pause_ms` is for how
-    long it wants no requests of this host, None if it did not say.
+    long it wants no requests of this host, None if it did not say. `limit_per_s` is the
+    rate that it takes from all hosts together: infinite if its answer names none, None
+    without a valid answer. `ignored` describes a header that was malformed. `sent_ms`
+    is the clock time at which the request was written, None if it never was.
     """
 
     end: AttemptEnd
@@ -107,6 +110,9 @@
     connecting_ms: float = 0.0
     is_leaving: bool = False
     pause_ms: float | None = None
+    limit_per_s: float | None = None
+    ignored: str = ""
+    sent_ms: float | None = None
 
 
 class ConnectionState(StrEnum):
--- a/burdockmill/forwarding/request_log.py
+++ b/burdockmill/forwarding/request_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from burdockmill.errors import BurdockmillError
@@ -25,7 +26,7 @@
     from burdockmill.world import World
 
 ANSWER, ATTEMPT, HEDGE, PROBE, RETRY = "answer", "attempt", "hedge", "probe", "retry"
-UPSTREAM = "upstream"
+UPSTREAM, LIMIT = "upstream", "limit"
 PART_BY_KIND = {
     AttemptKind.HEDGE: HEDGE,
     AttemptKind.PROBE: PROBE,
@@ -106,6 +107,39 @@
         choice = f"no new attempts to {action.upstream.upstream}"
         self._write(UPSTREAM, run, choice, reason, inputs, now_ms)
 
+    def limited(
+        self,
+        run: RequestRun,
+        action: SendAttempt,
+        outcome: AttemptOutcome,
+        now_ms: float,
+    ) -> None:
+        """Log that an upstream named a limit, changed it or ended it."""
+        upstream = action.upstream.upstream
+        limit_per_s = outcome.limit_per_s
+        inputs = {
+            "service": run.parts[action.part].service,
+            "limit_per_s": None if limit_per_s == math.inf else limit_per_s,
+            "answer_sent_ms_ago": _rounded(now_ms - (outcome.sent_ms or now_ms)),
+        }
+        if limit_per_s == math.inf:
+            choice, reason = f"no limit of {upstream}", "its answer names none"
+        else:
+            choice = f"{upstream} takes {limit_per_s:g} requests a second"
+            reason = "its answer names the limit"
+        self._write(LIMIT, run, choice, reason, inputs, now_ms)
+
+    def ignored(
+        self,
+        run: RequestRun,
+        action: SendAttempt,
+        outcome: AttemptOutcome,
+        now_ms: float,
+    ) -> None:
+        """Log that an upstream's answer has a malformed header."""
+        choice = f"ignored a header of {action.upstream.upstream}"
+        self._write(UPSTREAM, run, choice, outcome.ignored, {}, now_ms)
+
     def concluded(self, run: RequestRun, action: Conclude, now_ms: float) -> None:
         """Log the answer to a request, with all its attempts."""
         result = action.result
--- a/burdockmill/platform/headers.py
+++ b/burdockmill/platform/headers.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from multidict import MultiMapping
+
 from burdockmill.platform.wire_names import HOP_BY_HOP
 
 if TYPE_CHECKING:
@@ -28,6 +30,13 @@
     return next((headers[name] for name in names if name in headers), None)
 
 
+def values_of(headers: Mapping[str, str], name: str) -> list[str]:
+    """Return all values of a header, in order."""
+    if isinstance(headers, MultiMapping):
+        return headers.getall(name, [])
+    return [headers[name]] if name in headers else []
+
+
 def _connection_options(headers: Mapping[str, str]) -> Iterator[str]:
     for name in headers.get("Connection", "").split(","):
         yield name.strip().lower()
--- a/burdockmill/platform/upstream_codec.py
+++ b/burdockmill/platform/upstream_codec.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import math
+import re
 from typing import TYPE_CHECKING
 
-from loguru import logger
 from multidict import CIMultiDict
 
 from burdockmill.forwarding.codecs import UpstreamCodec
@@ -16,11 +16,12 @@
     Registration,
     UpstreamAnswer,
 )
-from burdockmill.platform.headers import end_to_end, first_value
+from burdockmill.platform.headers import end_to_end, first_value, values_of
 from burdockmill.platform.wire_names import (
     DEADLINE_MS,
     EXPECT_UPSTREAM,
     LEAVING,
+    LIMIT,
     NOT_RUN,
     REQUEST_ID,
     RETRY_AFTER,
@@ -40,6 +41,10 @@
 # A longer pause is taken for a fault of the upstream.
 PAUSE_LIMIT_MS = 600_000.0
 MIN_DEADLINE_MS = 1
+# Longer numbers are taken for a fault of the upstream.
+RATE = re.compile(r"[0-9]{1,12}(?:\.[0-9]{0,12})?", re.ASCII)
+# A malformed header is quoted in logs up to this many characters.
+QUOTED_CHARACTERS = 40
 
 
 class PlatformUpstreamCodec(UpstreamCodec):
@@ -67,9 +72,12 @@
             # Another upstream answered; what it says of itself is not of this one.
             return outcome
         headers = exchanged.headers
+        ignored: list[str] = []
         return outcome._replace(
             is_leaving=first_value(headers, LEAVING) == LEAVING_VALUE,
-            pause_ms=_decode_pause_ms(exchanged),
+            pause_ms=_decode_pause_ms(exchanged, ignored),
+            limit_per_s=_decode_limit(headers, ignored),
+            ignored="; ".join(ignored),
         )
 
 
@@ -91,7 +99,7 @@
     return AttemptOutcome(end, answer, detail)
 
 
-def _decode_pause_ms(exchanged: HttpResponse) -> float | None:
+def _decode_pause_ms(exchanged: HttpResponse, ignored: list[str]) -> float | None:
     """Return for how long the upstream wants no requests; None if it does not say."""
     text = exchanged.headers.get(RETRY_AFTER)
     if exchanged.status != UNAVAILABLE or text is None:
@@ -101,6 +109,23 @@
     except ValueError:
         seconds = math.nan
     if not seconds >= 0.0:
-        logger.warning("upstream: {} {!r} is not a time; ignored.", RETRY_AFTER, text)
+        ignored.append(f"{RETRY_AFTER} {text[:QUOTED_CHARACTERS]!r} is not a time")
         return None
     return min(seconds * MILLISECONDS_PER_SECOND, PAUSE_LIMIT_MS)
+
+
+def _decode_limit(headers: Mapping[str, str], ignored: list[str]) -> float | None:
+    """Return the lowest limit that an answer names; infinite if it names none.
+
+    None if it names malformed ones alone: these neither set nor end a limit.
+    """
+    texts = [value for name in LIMIT for value in values_of(headers, name)]
+    if not texts:
+        return math.inf
+    limits = []
+    for text in texts:
+        if RATE.fullmatch(text):
+            limits.append(float(text))
+        else:
+            ignored.append(f"{LIMIT[0]} {text[:QUOTED_CHARACTERS]!r} is not a rate")
+    return min(limits, default=None)
--- a/burdockmill/platform/wire_names.py
+++ b/burdockmill/platform/wire_names.py
@@ -15,6 +15,8 @@
 # The pages spell these without the prefix of the other headers; both are accepted.
 STORE_ERA = ("Store-Era", "X-Burdockmill-Store-Era")
 LEAVING = ("Server-Leaving", "X-Burdockmill-Server-Leaving")
+# Requests a second that an upstream takes from all hosts together (a decimal number).
+LIMIT = ("Server-Limit", "X-Burdockmill-Server-Limit")
 RETRY_AFTER = "Retry-After"
 
 CONFIGURATION_KEY = "op/config"
--- a/burdockmill/world.py
+++ b/burdockmill/world.py
@@ -11,6 +11,7 @@
 from burdockmill.tables.catalog import Catalog
 from burdockmill.tables.fleet import FleetTables
 from burdockmill.tables.timer_queue import TimerQueue
+from burdockmill.tables.upstream_limits import UpstreamLimits
 from burdockmill.tables.upstream_view import UpstreamViews
 
 if TYPE_CHECKING:
@@ -40,6 +41,7 @@
         self.upstream_by_id: dict[UpstreamId, UpstreamRow] = {}
         self.fleet = FleetTables()
         self.catalog = Catalog()
+        self.limits = UpstreamLimits()
         self.upstream_views = UpstreamViews()
         self.counter_by_name: Counter[str] = Counter()
         self.rate_limiter = RateLimiter()
