--- /dev/null
+++ b/tests/builders_limited_fleet.py
@@ -0,0 +1,220 @@
+"""Build virtual fleets of forwarding hosts against upstreams that name limits."""
+
+import math
+import random
+from bisect import bisect_left
+from collections import defaultdict
+
+from burdockmill.fleet_core import make_fleet_engine
+from burdockmill.forwarding.actions import Conclude, SendAttempt
+from burdockmill.forwarding.merge_policy import GreatestRecords
+from burdockmill.forwarding.request_run import RequestRun
+from burdockmill.messages.events import HostStarted
+from burdockmill.standins.virtual_fleet import VirtualFleet
+from burdockmill.systems._ring import Ring
+from burdockmill.tables.rows import MemberRow
+from tests.builders_fleet import Links, Upstreams
+from tests.builders_forwarding import (
+    DOMAINS,
+    REGIONS,
+    answered,
+    make_planner,
+    make_request,
+    record,
+    services_of,
+)
+
+NEAR_PATH_MS = 0.5
+FAR_PATH_MS = 12.0
+# The users' pages allow this multiple of a limit in a window, and some requests more.
+WINDOW_MS = 4_000.0
+ALLOWED_FACTOR = 1.5
+ALLOWED_EXTRA = 5
+
+
+class LimitedUpstream:
+    """Answer each request after a time, and name a limit; record all arrivals."""
+
+    def __init__(self, registration, work_ms=11.0):
+        self.registration = registration
+        self.work_ms = work_ms
+        self.limits = [(0.0, math.inf)]
+        self.arrivals_ms = []
+        self.arrivals_by_host = defaultdict(int)
+
+    def name_limit(self, at_ms, limit_per_s):
+        """Name a limit from a time on; infinity ends it."""
+        self.limits.append((at_ms, limit_per_s))
+
+    def limit_at(self, now_ms):
+        return [limit for at_ms, limit in self.limits if at_ms <= now_ms][-1]
+
+    def serve(self, host, domain, now_ms):
+        is_near = REGIONS[domain] == REGIONS[self.registration.domain]
+        path_ms = NEAR_PATH_MS if is_near else FAR_PATH_MS
+        self.arrivals_ms.append(now_ms + path_ms)
+        self.arrivals_by_host[host] += 1
+        answered_ms = now_ms + path_ms + self.work_ms
+        outcome = answered(record(1), stamp=self.registration.upstream)
+        limit_per_s = self.limit_at(answered_ms)
+        return answered_ms + path_ms, outcome._replace(
+            limit_per_s=limit_per_s, sent_ms=now_ms
+        )
+
+    def arrivals(self, from_ms, to_ms):
+        times_ms = sorted(self.arrivals_ms)
+        return bisect_left(times_ms, to_ms) - bisect_left(times_ms, from_ms)
+
+    def most_in_window(self, from_ms, to_ms=math.inf):
+        """Return the most arrivals in any window that lies between two times."""
+        times_ms = [one for one in sorted(self.arrivals_ms) if from_ms <= one < to_ms]
+        first = most = 0
+        for last, at_ms in enumerate(times_ms):
+            while times_ms[first] <= at_ms - WINDOW_MS:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
+
+def allowed_in_window(limit_per_s):
+    """Return how many requests a limit allows in any window."""
+    return ALLOWED_FACTOR * limit_per_s * WINDOW_MS / 1_000.0 + ALLOWED_EXTRA
+
+
+class FleetOfEngines(VirtualFleet):
+    """Run the engines of forwarding hosts."""
+
+    def add_host(self, host, domain):
+        rng = random.Random(self.rng.getrandbits(64))
+        self.engine_by_host[host] = make_fleet_engine(host, domain, rng, Ring())
+        self._timer_by_host.pop(host, None)
+        return self.engine_by_host[host]
+
+
+class LimitedFleet:
+    """Send the requests of a route through the hosts of a virtual fleet."""
+
+    def __init__(self, route, upstreams, per_domain=3, seed=1, **links):
+        self.route = route
+        self.upstream_by_id = {one.registration.upstream: one for one in upstreams}
+        self.registrations_by_service = defaultdict(list)
+        for one in upstreams:
+            service = one.registration.service
+            self.registrations_by_service[service].append(one.registration)
+        self.links = Links(**{"max_delay_ms": 15.0, **links})
+        self.virtual = FleetOfEngines(seed, Upstreams(), self.links)
+        self.rng = random.Random(seed)
+        self.domain_by_host = {
+            f"{domain}-{number}": domain
+            for domain in DOMAINS
+            for number in range(per_domain)
+        }
+        self.planner_by_host = {}
+        self.incarnation = 0
+        self.results = []
+        self.kinds = defaultdict(int)
+        for host in self.domain_by_host:
+            self.start(host)
+        self._number = 0
+
+    @property
+    def now_ms(self):
+        return self.virtual.clock.now_ms()
+
+    def start(self, host):
+        """Start a host, or restart it with its state lost."""
+        self.incarnation += 1
+        self.virtual.add_host(host, self.domain_by_host[host])
+        self.planner_by_host[host] = make_planner(
+            self.registrations_by_service.__getitem__,
+            self.domain_by_host[host],
+            host=host,
+            started_ms=self.now_ms,
+        )
+        rows = [self._row(other) for other in self.domain_by_host if other != host]
+        own = self._row(host)._replace(incarnation=self.incarnation)
+        self.virtual.post(host, HostStarted(own, tuple(rows)))
+
+    def load(self, rate_per_s, from_ms, to_ms, weight_by_host=None):
+        """Schedule requests at random times on hosts drawn by weight."""
+        hosts = list(self.domain_by_host)
+        weights = [(weight_by_host or {}).get(host, 1.0) for host in hosts]
+        at_ms = from_ms
+        while at_ms < to_ms:
+            [host] = self.rng.choices(hosts, weights)
+            self._at(at_ms, self._arrive, host)
+            at_ms += self.rng.expovariate(rate_per_s / 1_000.0)
+        return self
+
+    def run(self, until_ms):
+        self.virtual.run_until(until_ms)
+        return self
+
+    def served(self, from_ms=0.0, to_ms=math.inf):
+        """Return the fraction of requests received between two times with an answer."""
+        results = [result for at_ms, result in self.results if from_ms <= at_ms < to_ms]
+        return sum(not isinstance(one, Exception) for one in results) / len(results)
+
+    def _row(self, host):
+        domain = self.domain_by_host[host]
+        number = sorted(self.domain_by_host).index(host) + 1
+        return MemberRow(host, domain, REGIONS[domain], f"10.0.0.1:{number}")
+
+    def _at(self, at_ms, work, *arguments):
+        self.virtual.call_at(at_ms, lambda: work(*arguments))
+
+    def _arrive(self, host):
+        if host not in self.virtual.engine_by_host or host in self.virtual.paused:
+            return
+        self._number += 1
+        request = make_request(f"r-{self._number}", self.now_ms, 1_200.0)
+        run = RequestRun(
+            request,
+            self.route,
+            services_of(self.route),
+            self.planner_by_host[host],
+            GreatestRecords(),
+        )
+        self._handle(host, run, run.start(self.now_ms))
+
+    def _handle(self, host, run, actions):
+        for action in actions:
+            if isinstance(action, SendAttempt):
+                self._send(host, run, action)
+            elif isinstance(action, Conclude):
+                self.results.append((run.request.received_ms, action.result))
+        due_ms = run.next_due_ms
+        if due_ms is not None:
+            self._at(max(due_ms, self.now_ms), self._tick, host, run)
+
+    def _send(self, host, run, action):
+        upstream = self.upstream_by_id[action.upstream.upstream]
+        self.kinds[action.kind] += 1
+        key = (id(run), action.attempt)
+        observation = self.planner_by_host[host].observations.of(
+            action.upstream.upstream
+        )
+        observation.started(key, self.now_ms)
+        domain = self.domain_by_host[host]
+        back_ms, outcome = upstream.serve(host, domain, self.now_ms)
+        self._at(back_ms, self._end, host, run, action, key, outcome)
+
+    def _end(self, host, run, action, key, outcome):
+        engine = self.virtual.engine_by_host.get(host)
+        if engine is None:
+            return
+        planner = self.planner_by_host[host]
+        planner.notices.record(action.upstream, outcome, self.now_ms)
+        if outcome.sent_ms is not None:
+            engine.world.limits.record(
+                action.upstream, outcome.limit_per_s, outcome.sent_ms, self.now_ms
+            )
+        observation = planner.observations.of(action.upstream.upstream)
+        took_ms = observation.ended(key, outcome.end, self.now_ms)
+        if outcome.answer is not None and took_ms is not None:
+            planner.record_latency(run.route, action.upstream, took_ms)
+        self._handle(host, run, run.ended(action.attempt, outcome, self.now_ms))
+
+    def _tick(self, host, run):
+        if run.next_due_ms is not None and run.next_due_ms <= self.now_ms:
+            self._handle(host, run, run.tick(self.now_ms))
