Share the limit that an upstream names among all hosts

Cause: the limit was read by no one; and as each host knows of its own requests only, reading it is not enough: the sum over hosts has to be kept, at 9 hosts and at 195.

One live host, by rendezvous hashing in the upstream's failure domain, allocates a limit. It issues tokens at the named rate; hosts request tokens ahead of their demand, and for attempts that wait. A token expires within a second of its request, so those of frozen hosts and former allocators do not add up. A host that takes over an allocation, or sees part of the fleet only, issues less. Attempts take a token or go to another replica; with none left the shard is left out or the request refused at once with the time of the next token. Hedges leave the last token, probes look elsewhere. Gossip tells hosts that there is a limit before they hear it themselves, and the host that allocates it tells them when it has ended.

Others replay skewed demand, all replicas limited, 195 hosts, losses, frozen and killed hosts, and random schedules.

--- a/burdockmill/_forwarding_reports.py
+++ b/burdockmill/_forwarding_reports.py
@@ -90,6 +90,7 @@
         metrics.set_event_counts("forwarding", node.data_path.forwarder.counts)
         metrics.set_event_counts("repeats", node.data_path.budget.counts)
         metrics.set_event_counts("limits", world.limits.counts)
+        metrics.set_event_counts("tokens", node.data_path.gate.counts)
         metrics.set_event_counts("notices", node.data_path.notices.counts)
         if node.log_writer is not None:
             left_out_counts = {"lines_left_out_by_reader": node.log_writer.left_out}
--- a/burdockmill/clients/peer_client.py
+++ b/burdockmill/clients/peer_client.py
@@ -30,6 +30,7 @@
     SyncRequest,
     SyncRows,
 )
+from burdockmill.messages.limits import TokenGrant, TokenRequest
 from burdockmill.messages.peer import (
     ActionCancel,
     ActionOutcome,
@@ -96,6 +97,8 @@
     TicketOutcome: "ticket_outcomes",
     TicketLocation: "ticket_homes",
     TicketHandover: "ticket_handovers",
+    TokenRequest: "token_requests",
+    TokenGrant: "token_grants",
 }
 DELIVERY_CONFIRMED_TYPES = (Probe, RelayUpdates, TicketHandover)
 
--- a/burdockmill/fleet_core.py
+++ b/burdockmill/fleet_core.py
@@ -1,17 +1,20 @@
-"""Assemble the systems that track members and the catalog."""
+"""Assemble the systems that track members, limits and the catalog."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from burdockmill.engine import Engine
+from burdockmill.systems._limit_allocator import LimitAllocator
 from burdockmill.systems.anti_entropy_system import AntiEntropySystem
 from burdockmill.systems.catalog_system import CatalogSystem
 from burdockmill.systems.cross_domain_probe_system import CrossDomainProbeSystem
 from burdockmill.systems.dissemination_system import DisseminationSystem
+from burdockmill.systems.limit_allocation_system import LimitAllocationSystem
 from burdockmill.systems.member_system import MemberSystem
 from burdockmill.systems.probe_system import ProbeSystem
 from burdockmill.systems.refresh_system import RefreshSystem
+from burdockmill.systems.token_request_system import TokenRequestSystem
 from burdockmill.world import World
 
 if TYPE_CHECKING:
@@ -24,7 +27,8 @@
 def make_fleet_engine(
     host: HostId, domain: DomainId, rng: random.Random, ring: Ring
 ) -> Engine:
-    """Return an engine that tracks members and the catalog but owns no upstream."""
+    """Return an engine for a host that owns no upstream."""
+    allocator = LimitAllocator()
     systems = (
         CatalogSystem(),
         MemberSystem(),
@@ -33,5 +37,7 @@
         RefreshSystem(ring),
         DisseminationSystem(ring),
         AntiEntropySystem(),
+        TokenRequestSystem(allocator),
+        LimitAllocationSystem(allocator),
     )
     return Engine(World(host, domain, rng), systems)
--- a/burdockmill/forwarding/data_path.py
+++ b/burdockmill/forwarding/data_path.py
@@ -11,6 +11,7 @@
 from burdockmill.forwarding.observations import Observations
 from burdockmill.forwarding.planner import Planner
 from burdockmill.forwarding.request_log import RequestLog
+from burdockmill.forwarding.token_gate import TokenGate
 from burdockmill.forwarding.upstream_notices import UpstreamNotices
 from burdockmill.forwarding.weighted_choice import WeightedChoices
 from burdockmill.policies.connection_share import connection_share, keeps_idle
@@ -26,7 +27,7 @@
     from burdockmill.forwarding.codecs import UpstreamCodec
     from burdockmill.forwarding.messages import Registration
     from burdockmill.forwarding.settings import ForwardingSettings
-    from burdockmill.messages.events import CatalogChanged
+    from burdockmill.messages.events import CatalogChanged, Event
     from burdockmill.metrics import Metrics
     from burdockmill.names import ServiceId
     from burdockmill.world import World
@@ -50,11 +51,13 @@
         decisions: DecisionLog,
         metrics: Metrics,
         flush_soon: Callable[[], None],
+        post: Callable[[Event], None],
     ) -> None:
         self._world = world
         self._clock = clock
         self.observations = Observations()
         self.notices = UpstreamNotices(settings.change_limit_ms * LAST_RESORT_FRACTION)
+        self.gate = TokenGate(world.limits, post)
         self.budget = RepeatBudget(repeat_limits(settings), clock.now_ms())
         self._started_ms = clock.now_ms()
         self.client = ForwardingClient(codec, clock, self._host_limit, self._keeps_idle)
@@ -68,9 +71,15 @@
             world.catalog.removal_ms_by_upstream,
             self.notices,
             self.client.connection_state,
+            self.gate,
         )
         self._planner = Planner(
-            self._replicas_of, choice, self.budget, self.observations, self.notices
+            self._replicas_of,
+            choice,
+            self.budget,
+            self.observations,
+            self.notices,
+            self.gate,
         )
         log = RequestLog(world, self._planner, decisions, metrics, flush_soon)
         self.forwarder = Forwarder(
@@ -80,7 +89,6 @@
             self._choices,
             GreatestRecords(),
             self.client,
-            world.limits,
             log,
         )
 
--- a/burdockmill/forwarding/forwarder.py
+++ b/burdockmill/forwarding/forwarder.py
@@ -9,7 +9,12 @@
 
 from burdockmill.errors import BurdockmillError, NotReadyError, UnknownRouteError
 from burdockmill.forwarding.actions import Conclude, SendAttempt, WithdrawAttempt
-from burdockmill.forwarding.messages import AttemptEnd, MergedAnswer, UpstreamAnswer
+from burdockmill.forwarding.messages import (
+    AttemptEnd,
+    AttemptOutcome,
+    MergedAnswer,
+    UpstreamAnswer,
+)
 from burdockmill.forwarding.request_run import RequestRun
 
 if TYPE_CHECKING:
@@ -19,14 +24,14 @@
     from burdockmill.clock import Clock
     from burdockmill.forwarding.actions import RunAction
     from burdockmill.forwarding.merge_policy import MergePolicy
-    from burdockmill.forwarding.messages import AttemptOutcome, ForwardedRequest
+    from burdockmill.forwarding.messages import ForwardedRequest
     from burdockmill.forwarding.planner import Planner
     from burdockmill.forwarding.request_log import RequestLog
     from burdockmill.forwarding.routes import Route
+    from burdockmill.forwarding.token_gate import WaitingAttempt
     from burdockmill.forwarding.weighted_choice import WeightedChoices
     from burdockmill.names import ServiceId
     from burdockmill.tables.catalog import Catalog
-    from burdockmill.tables.upstream_limits import UpstreamLimits
 
     Result = UpstreamAnswer | MergedAnswer
 
@@ -49,7 +54,6 @@
         choices: WeightedChoices,
         merge: MergePolicy,
         client: ForwardingClient,
-        limits: UpstreamLimits,
         log: RequestLog,
     ) -> None:
         self.counts: Counter[str] = Counter()
@@ -57,7 +61,6 @@
         self.clock = clock
         self.planner = planner
         self.client = client
-        self.limits = limits
         self.log = log
         self._catalog = catalog
         self._keys = count()
@@ -119,7 +122,7 @@
         self._done: asyncio.Future[Result | BurdockmillError] = (
             self._loop.create_future()
         )
-        self._sending_by_attempt: dict[int, InFlightAttempt] = {}
+        self._sending_by_attempt: dict[int, InFlightAttempt | WaitingAttempt] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due_ms = 0.0
 
@@ -154,10 +157,27 @@
         observation.started(key, now_ms)
         forwarder.log.sent(self._run, action, now_ms)
 
+        if forwarder.planner.gate.take(action.upstream, now_ms):
+            self._write(action, key)
+            return
+
+        def on_decided(may_send: bool | None) -> None:
+            if may_send:
+                self._write(action, key)
+                return
+            end = AttemptEnd.NOT_SENT if may_send is None else AttemptEnd.LIMITED
+            detail = "cancelled" if may_send is None else "no token"
+            self._ended(action, key, AttemptOutcome(end, detail=detail))
+
+        self._sending_by_attempt[action.attempt] = forwarder.planner.gate.wait(
+            action.upstream, self._run.route.rank, on_decided
+        )
+
+    def _write(self, action: SendAttempt, key: int) -> None:
         def on_end(outcome: AttemptOutcome) -> None:
             self._ended(action, key, outcome)
 
-        self._sending_by_attempt[action.attempt] = forwarder.client.send(
+        self._sending_by_attempt[action.attempt] = self._forwarder.client.send(
             self._run.request, action, on_end
         )
 
@@ -171,9 +191,7 @@
         if outcome.ignored:
             forwarder.counts["malformed_headers_ignored"] += 1
             forwarder.log.ignored(self._run, action, outcome, now_ms)
-        if outcome.sent_ms is not None and forwarder.limits.record(
-            action.upstream, outcome.limit_per_s, outcome.sent_ms, now_ms
-        ):
+        if forwarder.planner.gate.record(action.upstream, outcome, now_ms):
             forwarder.log.limited(self._run, action, outcome, now_ms)
         was_needed = not self._run.is_complete(action.part)
         end = outcome.end
--- a/burdockmill/forwarding/messages.py
+++ b/burdockmill/forwarding/messages.py
@@ -69,6 +69,7 @@
     NOT_RUN = "not_run"
     WRONG_INSTANCE = "wrong_instance"
     NOT_SENT = "not_sent"
+    LIMITED = "limited"
     BROKEN = "broken"
     WRONG_ANSWER = "wrong_answer"
     SILENT = "silent"
@@ -78,10 +79,14 @@
         """Return whether no upstream has run, or will run, the attempt."""
         return self in _NOT_RUN
 
+    @property
+    def never_written(self) -> bool:
+        """Return whether no byte of the attempt was sent."""
+        return self in _NEVER_WRITTEN
+
 
-_NOT_RUN = frozenset(
-    {AttemptEnd.NOT_RUN, AttemptEnd.WRONG_INSTANCE, AttemptEnd.NOT_SENT}
-)
+_NEVER_WRITTEN = frozenset({AttemptEnd.NOT_SENT, AttemptEnd.LIMITED})
+_NOT_RUN = _NEVER_WRITTEN | {AttemptEnd.NOT_RUN, AttemptEnd.WRONG_INSTANCE}
 
 
 class UpstreamAnswer(NamedTuple):
--- a/burdockmill/forwarding/part_run.py
+++ b/burdockmill/forwarding/part_run.py
@@ -81,7 +81,7 @@
     def may_have_arrived(self) -> bool:
         """Return whether an upstream may have the part: another attempt is a repeat."""
         return any(
-            row.outcome is None or row.outcome.end is not AttemptEnd.NOT_SENT
+            row.outcome is None or not row.outcome.end.never_written
             for row in self.attempts
         )
 
--- a/burdockmill/forwarding/planner.py
+++ b/burdockmill/forwarding/planner.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
+from burdockmill.forwarding.messages import AttemptKind
 from burdockmill.policies.hedge_timing import hedge_delay_ms
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
 
-    from burdockmill.forwarding.messages import AttemptKind, Registration
+    from burdockmill.forwarding.messages import Registration
     from burdockmill.forwarding.observations import Observations
     from burdockmill.forwarding.routes import Route
+    from burdockmill.forwarding.token_gate import TokenGate
     from burdockmill.forwarding.upstream_notices import UpstreamNotices
     from burdockmill.names import ServiceId, UpstreamId
     from burdockmill.policies.repeat_budget import RepeatBudget
@@ -43,10 +46,12 @@
         budget: RepeatBudget,
         observations: Observations,
         notices: UpstreamNotices,
+        gate: TokenGate,
     ) -> None:
         self.budget = budget
         self.observations = observations
         self.notices = notices
+        self.gate = gate
         self._replicas_of = replicas_of
         self._choice = choice
 
@@ -56,14 +61,18 @@
         excluded: Collection[UpstreamId],
         is_idempotent: bool,
         now_ms: float,
+        kind: AttemptKind = AttemptKind.FIRST,
     ) -> Choice | None:
         """Return the best upstream for an attempt, or None if there is none."""
         ranked = self._rank(service, excluded, is_idempotent, now_ms)
+        if kind is AttemptKind.FIRST and self.gate.limits:
+            self._want_tokens(ranked, now_ms)
+        ranked = [one for one in ranked if self._may_use(one, kind, now_ms)]
         if not ranked:
             return None
         best = ranked[0]
-        alternative_ms = ranked[1].expected_ms if len(ranked) > 1 else None
-        return Choice(best.registration, best.expected_ms, alternative_ms)
+        alternative_ms = ranked[1].total_ms if len(ranked) > 1 else None
+        return Choice(best.registration, best.total_ms, alternative_ms)
 
     def probe_target(
         self, service: ServiceId, chosen: UpstreamId, now_ms: float
@@ -90,17 +99,19 @@
             bound_ms = SAME_REGION_FACTOR * self._choice.prior_ms(replica)
             if chosen_ms is None or bound_ms >= chosen_ms:
                 continue
-            if self.observations.of(replica.upstream).is_stale(now_ms):
+            is_stale = self.observations.of(replica.upstream).is_stale(now_ms)
+            if is_stale and not self.gate.is_limited(replica):
                 return replica
         return None
 
     def pause_ms(self, service: ServiceId, now_ms: float) -> float:
         """Return after how long a service accepts requests again, in milliseconds.
 
-        It is 0 if any upstream accepts them now, or if none asked for a pause.
+        It is 0 if any upstream accepts them now, or if none asked for a pause or
+        named a limit.
         """
         pauses_ms = (
-            self.notices.pause_ms(one, now_ms)
+            max(self.notices.pause_ms(one, now_ms), self.gate.pause_ms(one, now_ms))
             for one in self._replicas_of(service)
             if not one.draining and not self.notices.is_leaving(one)
         )
@@ -134,6 +145,17 @@
         """Return a shard's upstreams in the order a search prefers them, best first."""
         return self._rank(service, (), True, now_ms)
 
+    def _want_tokens(self, ranked: list[Candidate], now_ms: float) -> None:
+        """Record the upstream that an attempt would use if it had a token."""
+        preferred = min(ranked, key=lambda one: one.expected_ms, default=None)
+        if preferred is not None:
+            self.gate.want(preferred.registration, now_ms)
+
+    def _may_use(self, candidate: Candidate, kind: AttemptKind, now_ms: float) -> bool:
+        if kind is AttemptKind.HEDGE:
+            return self.gate.has_spare(candidate.registration, now_ms)
+        return candidate.token_wait_ms < math.inf
+
     def _rank(
         self,
         service: ServiceId,
--- a/burdockmill/forwarding/request_run.py
+++ b/burdockmill/forwarding/request_run.py
@@ -98,7 +98,7 @@
         choices = []
         for part in self.parts:
             self._planner.budget.deposit(part.service, now_ms)
-            choice = self._choose(part, now_ms)
+            choice = self._choose(part, AttemptKind.FIRST, now_ms)
             choices.append(choice)
             if choice is None:
                 self._mark_lost(part, "no upstream accepts requests")
@@ -117,7 +117,7 @@
         row.outcome = outcome
         row.took_ms = now_ms - row.sent_ms
         actions: list[RunAction] = []
-        if row.is_paid and outcome.end is AttemptEnd.NOT_SENT:
+        if row.is_paid and outcome.end.never_written:
             self._planner.budget.refund(part.service)
         if self.completed or part.is_complete:
             return actions
@@ -169,9 +169,9 @@
             self._hedges.schedule(part, now_ms + delay_ms)
         return True
 
-    def _choose(self, part: PartRun, now_ms: float) -> Choice | None:
+    def _choose(self, part: PartRun, kind: AttemptKind, now_ms: float) -> Choice | None:
         return self._planner.choose(
-            part.service, part.tried, self.route.is_idempotent, now_ms
+            part.service, part.tried, self.route.is_idempotent, now_ms, kind
         )
 
     def _add(
@@ -212,7 +212,7 @@
         part.hedge_ms = None
         if not self._may_run_again(part) or self._is_too_late(now_ms):
             return
-        choice = self._choose(part, now_ms)
+        choice = self._choose(part, AttemptKind.HEDGE, now_ms)
         if not self._send(part, AttemptKind.HEDGE, choice, now_ms, actions):
             self._hedges.schedule(part, now_ms + HEDGE_RETRY_MS)
 
@@ -221,7 +221,7 @@
     ) -> None:
         may_try = self._may_run_again(part) and not self._is_too_late(now_ms)
         if may_try:
-            choice = self._choose(part, now_ms)
+            choice = self._choose(part, AttemptKind.RETRY, now_ms)
             if self._send(part, AttemptKind.RETRY, choice, now_ms, actions):
                 return
         if not part.in_flight:
--- a/burdockmill/forwarding_node.py
+++ b/burdockmill/forwarding_node.py
@@ -23,6 +23,7 @@
 from burdockmill.fleet_core import make_fleet_engine
 from burdockmill.forwarding.data_path import DataPath
 from burdockmill.forwarding.routes import IngressLimits
+from burdockmill.forwarding.upstream_notices import Incarnation
 from burdockmill.messages.actions import Announce, LogDecision, SendToPeer
 from burdockmill.messages.events import (
     CatalogChanged,
@@ -31,6 +32,7 @@
     PeerReceived,
     PeerUnreachable,
     SeedsRead,
+    TokensChanged,
 )
 from burdockmill.metrics import Metrics
 from burdockmill.surfaces._bounded_server import ServerBounds
@@ -107,6 +109,7 @@
             self.decisions,
             self.metrics,
             self._schedule_flush,
+            self.post,
         )
         self.ingress = Ingress(
             self.data_path.forwarder,
@@ -273,6 +276,8 @@
                     self._send_to_peer(action)
                 case Announce(event=CatalogChanged() as change):
                     self.data_path.follow_catalog(change, now_ms)
+                case Announce(event=TokensChanged() as tokens):
+                    self.data_path.gate.on_change(Incarnation(*tokens), now_ms)
         self.data_path.follow_hosts(now_ms)
 
     def _send_to_peer(self, action: SendToPeer) -> None:
--- a/burdockmill/messages/events.py
+++ b/burdockmill/messages/events.py
@@ -42,6 +42,27 @@
     wants_ticket: bool = False
 
 
+class LimitNamed(NamedTuple):
+    """Report the first answer by which this host hears of an upstream's limit."""
+
+    upstream: UpstreamId
+    started_ms: int
+
+
+class TokensWanted(NamedTuple):
+    """Report that attempts need tokens for an incarnation of a limited upstream."""
+
+    upstream: UpstreamId
+    started_ms: int
+
+
+class TokensChanged(NamedTuple):
+    """Report that a request for tokens was granted, refused or not answered."""
+
+    upstream: UpstreamId
+    started_ms: int
+
+
 class CallerDisconnected(NamedTuple):
     """Report that a caller disconnected before its answer."""
 
@@ -270,4 +291,7 @@
     | PauseDetected
     | TicketActionStarted
     | TicketActionEnded
+    | LimitNamed
+    | TokensWanted
+    | TokensChanged
 )
--- a/burdockmill/messages/fleet.py
+++ b/burdockmill/messages/fleet.py
@@ -57,6 +57,14 @@
     upstreams: list[UpstreamId]
 
 
+class LimitHint(NamedTuple):
+    """Tell that an incarnation of an upstream has named a limit."""
+
+    upstream: UpstreamId
+    started_ms: int
+    domain: DomainId
+
+
 class ChunkChange(NamedTuple):
     """Replace `removed` lines of a chunk at index `at`; digests are SHA-256.
 
@@ -91,6 +99,7 @@
     rules: tuple[RulesDelta, ...] = ()
     listed: LeavingList | None = None
     catalog: tuple[CatalogDelta, ...] = ()
+    limits: tuple[LimitHint, ...] = ()
 
 
 class TableDigest(NamedTuple):
--- a/burdockmill/messages/peer.py
+++ b/burdockmill/messages/peer.py
@@ -23,6 +23,7 @@
     SyncRequest,
     SyncRows,
 )
+from burdockmill.messages.limits import TokenGrant, TokenRequest
 from burdockmill.names import (
     AttemptId,
     CallerId,
@@ -292,6 +293,8 @@
     ticket_outcomes: list[TicketOutcome]
     ticket_homes: list[TicketLocation]
     ticket_handovers: list[TicketHandover]
+    token_requests: list[TokenRequest]
+    token_grants: list[TokenGrant]
 
 
 PeerMessage = (
@@ -308,4 +311,6 @@
     | TicketOutcome
     | TicketLocation
     | TicketHandover
+    | TokenRequest
+    | TokenGrant
 )
--- a/burdockmill/policies/replica_choice.py
+++ b/burdockmill/policies/replica_choice.py
@@ -21,6 +21,7 @@
 
     from burdockmill.forwarding.messages import Registration
     from burdockmill.forwarding.observations import Observation, Observations
+    from burdockmill.forwarding.token_gate import TokenGate
     from burdockmill.forwarding.upstream_notices import UpstreamNotices
     from burdockmill.names import DomainId, HostId, UpstreamId
 
@@ -52,10 +53,20 @@
 
 
 class Candidate(NamedTuple):
-    """Store an upstream and its expected latency in milliseconds."""
+    """Store an upstream and its expected latency in milliseconds.
+
+    `token_wait_ms` is the expected wait for a token if it is limited; it is infinite if
+    no token is expected soon.
+    """
 
     registration: Registration
     expected_ms: float
+    token_wait_ms: float = 0.0
+
+    @property
+    def total_ms(self) -> float:
+        """Return the expected time until the answer."""
+        return self.expected_ms + self.token_wait_ms
 
 
 class ReplicaChoice(ABC):
@@ -92,6 +103,7 @@
         departing: Mapping[UpstreamId, float],
         notices: UpstreamNotices,
         state_of: Callable[[Registration], ConnectionState],
+        gate: TokenGate,
     ) -> None:
         self._host = host
         self._domain = domain
@@ -103,6 +115,7 @@
         self._departing = departing
         self._notices = notices
         self._state_of = state_of
+        self._gate = gate
 
     def rank(
         self,
@@ -115,14 +128,18 @@
         replicas = list(replicas)
         extra_work_ms = self._extra_work_ms(replicas)
         ranked = [
-            Candidate(one, self._expected_ms(one, extra_work_ms, is_idempotent, now_ms))
+            Candidate(
+                one,
+                self._expected_ms(one, extra_work_ms, is_idempotent, now_ms),
+                self._gate.wait_ms(one, now_ms),
+            )
             for one in replicas
             if not one.draining
             and one.upstream not in excluded
             and self._notices.may_send(one, now_ms)
         ]
         if len(ranked) > 1:
-            ranked.sort(key=lambda candidate: candidate.expected_ms)
+            ranked.sort(key=lambda candidate: candidate.total_ms)
         return ranked
 
     def prior_ms(self, replica: Registration) -> float:
--- a/burdockmill/systems/_apply_updates.py
+++ b/burdockmill/systems/_apply_updates.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from burdockmill.forwarding.upstream_notices import Incarnation
 from burdockmill.messages.actions import LogDecision
 from burdockmill.messages.events import (
     CatalogReceived,
@@ -70,7 +71,14 @@
         world.put_event(CONFIG, RulesDeltasReceived(sender, updates.rules))
     if updates.catalog:
         world.put_event(CONFIG, CatalogReceived(sender, updates.catalog))
-    return GossipUpdates(members, holdings, (), listed)
+    limits = tuple(
+        hint
+        for hint in updates.limits
+        if world.limits.apply_hint(
+            Incarnation(hint.upstream, hint.started_ms), hint.domain, now_ms
+        )
+    )
+    return GossipUpdates(members, holdings, (), listed, limits=limits)
 
 
 def apply_leaving_list(world: World, listed: LeavingList, now_ms: float) -> bool:
--- a/burdockmill/systems/probe_system.py
+++ b/burdockmill/systems/probe_system.py
@@ -150,6 +150,7 @@
                 members=(*from_sender.members, *from_probe.members),
                 holdings=from_probe.holdings,
                 listed=from_probe.listed,
+                limits=from_probe.limits,
             ),
         )
         current = world.member_by_host.get(host)
--- a/burdockmill/tables/gossip_updates.py
+++ b/burdockmill/tables/gossip_updates.py
@@ -9,6 +9,7 @@
     GossipUpdates,
     HoldingsNews,
     LeavingList,
+    LimitHint,
     MemberUpdate,
     RulesDelta,
 )
@@ -16,7 +17,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-Update = MemberUpdate | HoldingsNews | RulesDelta | LeavingList | CatalogDelta
+Update = (
+    MemberUpdate | HoldingsNews | RulesDelta | LeavingList | CatalogDelta | LimitHint
+)
 
 # Updates whose key is their revision: any one stands for that revision.
 REVISION_DELTAS = (RulesDelta, CatalogDelta)
@@ -104,6 +107,7 @@
     if bundle.listed is not None:
         yield bundle.listed
     yield from bundle.catalog
+    yield from bundle.limits
 
 
 def bundle_updates(updates: list[Update]) -> GossipUpdates:
@@ -117,6 +121,7 @@
         tuple(sorted(rules, key=lambda delta: delta.revision)),
         listed[-1] if listed else None,
         tuple(sorted(catalog, key=lambda delta: delta.position)),
+        tuple(update for update in updates if isinstance(update, LimitHint)),
     )
 
 
@@ -131,4 +136,6 @@
             return UpdateKey("rules", str(update.revision))
         case CatalogDelta():
             return UpdateKey("catalog", f"{update.era}/{update.revision}")
+        case LimitHint():
+            return UpdateKey("limit", f"{update.upstream}/{update.started_ms}")
     return UpdateKey("listed", "")
--- a/burdockmill/tables/upstream_limits.py
+++ b/burdockmill/tables/upstream_limits.py
@@ -7,14 +7,21 @@
 from typing import TYPE_CHECKING
 
 from burdockmill.forwarding.upstream_notices import Incarnation
+from burdockmill.messages.limits import HEARSAY_AGE_MS, LimitReport
+from burdockmill.tables.token_stock import TokenStock
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from burdockmill.forwarding.messages import Registration
+    from burdockmill.names import DomainId, UpstreamId
 
 # Rows beyond this number are discarded, oldest first.
 ROWS_LIMIT = 4_096
+# The limit assumed until the host that allocates it states the figure.
+HINTED_LIMIT_PER_S = 0.1
+# Gossip takes up to this long; a limit that ended since does not begin again by it.
+HINT_DELAY_MS = 5_000.0
 # A change of the limit by less than this fraction is not reported.
 REPORTED_CHANGE = 0.1
 
@@ -23,22 +30,43 @@
     """Store what is known of one incarnation's limit; times in clock milliseconds.
 
     `limit_per_s` is infinite once the limit has ended. `heard_ms` is when the answer
-    that stated it was received, `sent_ms` when its request was written.
+    that stated it was received, `sent_ms` when its request was written. With
+    `is_hearsay` only gossip stated that there is a limit.
     """
 
-    __slots__ = ("heard_ms", "limit_per_s", "reported_per_s", "sent_ms")
-
-    def __init__(self) -> None:
+    __slots__ = (
+        "domain",
+        "heard_ms",
+        "is_hearsay",
+        "limit_per_s",
+        "published_ms",
+        "reported_per_s",
+        "sent_ms",
+        "stock",
+    )
+
+    def __init__(self, domain: DomainId) -> None:
+        self.domain = domain
+        self.stock = TokenStock()
         self.limit_per_s = math.inf
         self.reported_per_s = math.inf
         self.sent_ms = -math.inf
         self.heard_ms = -math.inf
+        self.is_hearsay = False
+        self.published_ms = -math.inf
 
     @property
     def is_limited(self) -> bool:
         """Return whether the limit holds."""
         return self.limit_per_s < math.inf
 
+    def report(self, now_ms: float) -> LimitReport:
+        """Return what this host knows of the limit."""
+        if self.is_hearsay:
+            return LimitReport(self.limit_per_s, HEARSAY_AGE_MS)
+        limit_per_s = self.limit_per_s if self.is_limited else None
+        return LimitReport(limit_per_s, now_ms - self.heard_ms)
+
 
 class UpstreamLimits:
     """Store a row for each incarnation that named a limit."""
@@ -47,16 +75,25 @@
         self.counts: Counter[str] = Counter()
         self._row_by_incarnation: dict[Incarnation, LimitRow] = {}
 
+    def __bool__(self) -> bool:
+        return bool(self._row_by_incarnation)
+
     def of(self, registration: Registration) -> LimitRow | None:
         """Return an upstream's row, or None if it has no limit."""
+        if not self._row_by_incarnation:
+            return None
         row = self._row_by_incarnation.get(Incarnation.of(registration))
         return row if row is not None and row.is_limited else None
 
-    def limited(self) -> Iterator[tuple[Incarnation, float]]:
-        """Yield the incarnations with a limit, in requests a second."""
+    def row(self, incarnation: Incarnation) -> LimitRow | None:
+        """Return the row of an incarnation, also of one whose limit has ended."""
+        return self._row_by_incarnation.get(incarnation)
+
+    def rows(self) -> Iterator[tuple[Incarnation, LimitRow]]:
+        """Yield the incarnations that have a limit, with their rows."""
         for incarnation, row in self._row_by_incarnation.items():
             if row.is_limited:
-                yield incarnation, row.limit_per_s
+                yield incarnation, row
 
     def record(
         self,
@@ -80,18 +117,62 @@
                 return False
             self.counts["limits_ended"] += 1
         elif row is None:
-            row = self._add(incarnation)
+            row = self._add(incarnation, registration.domain)
         elif sent_ms < row.sent_ms:
             self.counts["late_answers_ignored"] += 1
             return False
         row.limit_per_s = limit_per_s
         row.sent_ms, row.heard_ms = sent_ms, now_ms
+        row.is_hearsay = False
         return self._is_reported(row)
 
-    def _add(self, incarnation: Incarnation) -> LimitRow:
+    def merge(
+        self,
+        incarnation: Incarnation,
+        domain: DomainId,
+        report: LimitReport,
+        now_ms: float,
+    ) -> None:
+        """Apply another host's report if it is newer than what this host knows."""
+        row = self._row_by_incarnation.get(incarnation)
+        if row is None:
+            if report.limit_per_s is None:
+                return
+            row = self._add(incarnation, domain)
+        heard_ms = now_ms - report.age_ms
+        if not row.is_hearsay and heard_ms <= row.heard_ms:
+            return
+        row.limit_per_s = math.inf if report.limit_per_s is None else report.limit_per_s
+        row.sent_ms = row.heard_ms = heard_ms
+        row.is_hearsay = False
+
+    def apply_hint(
+        self, incarnation: Incarnation, domain: DomainId, now_ms: float
+    ) -> bool:
+        """Record that another host heard of a limit; return whether that was new.
+
+        The host that allocates the limit confirms it, or ends it, when this one
+        requests tokens.
+        """
+        row = self._row_by_incarnation.get(incarnation)
+        if row is None:
+            row = self._add(incarnation, domain)
+        elif row.is_limited or now_ms - row.heard_ms < HINT_DELAY_MS:
+            return False
+        self.counts["hints_applied"] += 1
+        row.limit_per_s = HINTED_LIMIT_PER_S
+        row.sent_ms = row.heard_ms = now_ms
+        row.is_hearsay = True
+        return True
+
+    def remove(self, upstream: UpstreamId, started_ms: int) -> None:
+        """Remove the row of an incarnation that is gone."""
+        self._row_by_incarnation.pop(Incarnation(upstream, started_ms), None)
+
+    def _add(self, incarnation: Incarnation, domain: DomainId) -> LimitRow:
         if len(self._row_by_incarnation) >= ROWS_LIMIT:
             del self._row_by_incarnation[next(iter(self._row_by_incarnation))]
-        row = self._row_by_incarnation[incarnation] = LimitRow()
+        row = self._row_by_incarnation[incarnation] = LimitRow(domain)
         return row
 
     def _is_reported(self, row: LimitRow) -> bool:
--- a/tests/builders_forwarding.py
+++ b/tests/builders_forwarding.py
@@ -25,10 +25,12 @@
     ShardSet,
     WeightedService,
 )
+from burdockmill.forwarding.token_gate import TokenGate
 from burdockmill.forwarding.upstream_notices import UpstreamNotices
 from burdockmill.messages.catalog import CatalogDelta, CatalogRequest, Registered
 from burdockmill.policies.repeat_budget import RepeatBudget, RepeatLimits
 from burdockmill.policies.replica_choice import ExpectedLatencyChoice
+from burdockmill.tables.upstream_limits import UpstreamLimits
 
 DOMAINS = ("waw-a", "krk-a", "gda-a")
 REGIONS = {"waw-a": "mazowsze", "krk-a": "malopolska", "gda-a": "pomorze"}
@@ -124,6 +126,10 @@
     return ConnectionState.IDLE
 
 
+def post_nothing(event):
+    raise AssertionError(f"no event was expected: {event}")
+
+
 def make_planner(
     replicas=replicas_of,
     domain="waw-a",
@@ -133,9 +139,11 @@
     host="e0",
     started_ms=0.0,
     notices=None,
+    gate=None,
 ):
     observations = Observations()
     notices = notices or UpstreamNotices(1_200.0)
+    gate = gate or TokenGate(UpstreamLimits(), post_nothing)
     choice = ExpectedLatencyChoice(
         host,
         domain,
@@ -144,10 +152,11 @@
         {} if departing is None else departing,
         notices,
         state_of,
+        gate,
     )
     budget = RepeatBudget(limits, started_ms)
     budget.share_among(1, 0.0)
-    return Planner(replicas, choice, budget, observations, notices)
+    return Planner(replicas, choice, budget, observations, notices, gate)
 
 
 def services_of(route):
--- a/tests/builders_limited_fleet.py
+++ b/tests/builders_limited_fleet.py
@@ -8,8 +8,12 @@
 from burdockmill.fleet_core import make_fleet_engine
 from burdockmill.forwarding.actions import Conclude, SendAttempt
 from burdockmill.forwarding.merge_policy import GreatestRecords
+from burdockmill.forwarding.messages import AttemptEnd, AttemptOutcome
 from burdockmill.forwarding.request_run import RequestRun
-from burdockmill.messages.events import HostStarted
+from burdockmill.forwarding.token_gate import TokenGate
+from burdockmill.forwarding.upstream_notices import Incarnation
+from burdockmill.messages.actions import Announce, SendToPeer
+from burdockmill.messages.events import HostStarted, TokensChanged
 from burdockmill.standins.virtual_fleet import VirtualFleet
 from burdockmill.systems._ring import Ring
 from burdockmill.tables.rows import MemberRow
@@ -65,6 +69,9 @@
         times_ms = sorted(self.arrivals_ms)
         return bisect_left(times_ms, to_ms) - bisect_left(times_ms, from_ms)
 
+    def rate_per_s(self, from_ms, to_ms):
+        return self.arrivals(from_ms, to_ms) / (to_ms - from_ms) * 1_000.0
+
     def most_in_window(self, from_ms, to_ms=math.inf):
         """Return the most arrivals in any window that lies between two times."""
         times_ms = [one for one in sorted(self.arrivals_ms) if from_ms <= one < to_ms]
@@ -109,9 +116,13 @@
             for domain in DOMAINS
             for number in range(per_domain)
         }
+        self.virtual.on_action = self._on_action
         self.planner_by_host = {}
+        self.gate_by_host = {}
         self.incarnation = 0
         self.results = []
+        self.longest_ms = 0.0
+        self.messages = 0
         self.kinds = defaultdict(int)
         for host in self.domain_by_host:
             self.start(host)
@@ -124,12 +135,15 @@
     def start(self, host):
         """Start a host, or restart it with its state lost."""
         self.incarnation += 1
-        self.virtual.add_host(host, self.domain_by_host[host])
+        engine = self.virtual.add_host(host, self.domain_by_host[host])
+        gate = TokenGate(engine.world.limits, lambda event: self._post(host, event))
+        self.gate_by_host[host] = gate
         self.planner_by_host[host] = make_planner(
             self.registrations_by_service.__getitem__,
             self.domain_by_host[host],
             host=host,
             started_ms=self.now_ms,
+            gate=gate,
         )
         rows = [self._row(other) for other in self.domain_by_host if other != host]
         own = self._row(host)._replace(incarnation=self.incarnation)
@@ -155,6 +169,28 @@
         results = [result for at_ms, result in self.results if from_ms <= at_ms < to_ms]
         return sum(not isinstance(one, Exception) for one in results) / len(results)
 
+    def limits_of(self, host):
+        return self.virtual.engine_by_host[host].world.limits
+
+    def apply(self, step, host):
+        """Apply one step of a schedule to a host, if it can be applied."""
+        engines = self.virtual.engine_by_host
+        if step == "kill" and host in engines:
+            self.virtual.remove_host(host)
+            self.virtual.paused.discard(host)
+        elif step == "start" and host not in engines:
+            self.start(host)
+        elif step == "freeze" and host in engines:
+            self.virtual.paused.add(host)
+        elif step == "wake" and host in self.virtual.paused:
+            self.virtual.resume(host)
+        elif step == "cut":
+            self.links.group_by_host[host] = 1
+        elif step == "heal":
+            self.links.group_by_host.pop(host, None)
+        elif step == "move":
+            self.load(40.0, self.now_ms, self.now_ms + 2_000.0, {host: 50.0})
+
     def _row(self, host):
         domain = self.domain_by_host[host]
         number = sorted(self.domain_by_host).index(host) + 1
@@ -182,19 +218,46 @@
             if isinstance(action, SendAttempt):
                 self._send(host, run, action)
             elif isinstance(action, Conclude):
-                self.results.append((run.request.received_ms, action.result))
+                received_ms = run.request.received_ms
+                self.results.append((received_ms, action.result))
+                self.longest_ms = max(self.longest_ms, self.now_ms - received_ms)
         due_ms = run.next_due_ms
         if due_ms is not None:
             self._at(max(due_ms, self.now_ms), self._tick, host, run)
 
     def _send(self, host, run, action):
-        upstream = self.upstream_by_id[action.upstream.upstream]
-        self.kinds[action.kind] += 1
         key = (id(run), action.attempt)
         observation = self.planner_by_host[host].observations.of(
             action.upstream.upstream
         )
         observation.started(key, self.now_ms)
+        gate = self.gate_by_host[host]
+        if gate.take(action.upstream, self.now_ms):
+            self._write(host, run, action, key)
+            return
+
+        def on_decided(may_send):
+            if may_send:
+                self._write(host, run, action, key)
+            else:
+                self._end(host, run, action, key, AttemptOutcome(AttemptEnd.LIMITED))
+
+        gate.wait(action.upstream, run.route.rank, on_decided)
+
+    def _post(self, host, event):
+        # As on a host, an event is handled in a later step, not in the caller's.
+        self._at(self.now_ms, self.virtual.post, host, event)
+
+    def _on_action(self, host, action):
+        match action:
+            case SendToPeer():
+                self.messages += 1
+            case Announce(event=TokensChanged() as tokens):
+                self.gate_by_host[host].on_change(Incarnation(*tokens), self.now_ms)
+
+    def _write(self, host, run, action, key):
+        upstream = self.upstream_by_id[action.upstream.upstream]
+        self.kinds[action.kind] += 1
         domain = self.domain_by_host[host]
         back_ms, outcome = upstream.serve(host, domain, self.now_ms)
         self._at(back_ms, self._end, host, run, action, key, outcome)
@@ -205,10 +268,7 @@
             return
         planner = self.planner_by_host[host]
         planner.notices.record(action.upstream, outcome, self.now_ms)
-        if outcome.sent_ms is not None:
-            engine.world.limits.record(
-                action.upstream, outcome.limit_per_s, outcome.sent_ms, self.now_ms
-            )
+        self.gate_by_host[host].record(action.upstream, outcome, self.now_ms)
         observation = planner.observations.of(action.upstream.upstream)
         took_ms = observation.ended(key, outcome.end, self.now_ms)
         if outcome.answer is not None and took_ms is not None:
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -141,4 +141,4 @@
     limits = UpstreamLimits()
     for number in range(ROWS_LIMIT + 5):
         limits.record(make_registration(f"u-{number}"), 5.0, 1.0, 2.0)
-    assert len(list(limits.limited())) == ROWS_LIMIT
+    assert len(list(limits.rows())) == ROWS_LIMIT
