Cut off answers without end, and bound the memory of those in progress

An upstream in trouble may send bytes that are no answer without end. Blank lines before a head, interim answers, answers of other requests, chunk sizes, chunk extensions and tiny chunks had no bound in bytes: an attempt stayed until its deadline, its connection busy, while the host read on. Forty endless bodies at once took 322 MB, since only each single one had a bound (8 MiB). An answer of the store was read whole.

What is not the body may now exceed it by a megabyte, bodies of one exchange may have 8 MiB in all, and the incomplete ones of a client 64 MiB together; then the connection is closed and the attempt fails as a wrong answer, which counts against the upstream and lets a retry go on. The store's answers are bounded as well. Deadlines bound the time, as before.

--- a/burdockmill/clients/forwarding_client.py
+++ b/burdockmill/clients/forwarding_client.py
@@ -10,6 +10,7 @@
 
 from burdockmill.clients._upstream_codec import WrongAnswerError
 from burdockmill.clients._upstream_pool import UpstreamPool
+from burdockmill.clients.receive_budget import ReceiveBudget
 from burdockmill.forwarding.messages import (
     AttemptEnd,
     AttemptOutcome,
@@ -70,6 +71,7 @@
         self._clock = clock
         self._connection_limit = connection_limit
         self._keeps_idle = keeps_idle
+        self._budget = ReceiveBudget()
         self._pool_by_upstream: dict[UpstreamId, UpstreamPool] = {}
         self._background_tasks: set[asyncio.Task[None]] = set()
         self._in_flight: set[InFlightAttempt] = set()
@@ -160,7 +162,12 @@
             )
             try:
                 response = await session.exchange(
-                    request.method, request.target, request.body, start_write, is_own
+                    request.method,
+                    request.target,
+                    request.body,
+                    start_write,
+                    is_own,
+                    self._budget,
                 )
             finally:
                 connect_timer.cancel()
--- a/burdockmill/clients/no_retry_session.py
+++ b/burdockmill/clients/no_retry_session.py
@@ -18,6 +18,7 @@
 from burdockmill.clients._lifo_connector import NO_TIMEOUT
 from burdockmill.clients._reuse_checking_handler import ReuseCheckingHandler
 from burdockmill.clients._upstream_codec import WrongAnswerError
+from burdockmill.clients.receive_budget import ReceiveBudget
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -86,12 +87,14 @@
         body: bytes,
         start_write: Callable[[], CIMultiDict[str]],
         is_own: Callable[[Mapping[str, str]], bool] | None = None,
+        budget: ReceiveBudget | None = None,
     ) -> HttpResponse:
         """Send a request and return its response.
 
         `start_write` is called once a connection is available. It returns the request's
         headers, or raises to stop the request before anything is written. Responses
         whose headers `is_own` rejects belong to another request and are skipped.
+        `budget` bounds the bytes of all answers that share it.
         Raise ClientError, OSError, WrongAnswerError or the errors of `start_write`.
         """
         connection = await self._connector.connect(self.route, [], NO_TIMEOUT)
@@ -104,7 +107,7 @@
         protocol = cast("ReuseCheckingHandler", connection.protocol)
         try:
             await self._write(protocol, method, target, headers, body)
-            response = await self._read(protocol, is_own)
+            response = await self._read(protocol, is_own, budget or ReceiveBudget())
             self._connector.record_idle_timeout(protocol.idle_timeout_s)
         except BaseException:
             connection.close()
@@ -128,7 +131,7 @@
         headers: CIMultiDict[str],
         body: bytes,
     ) -> None:
-        protocol.expects_response = True
+        protocol.start_exchange()
         protocol.set_response_params(
             skip_payload=method == HEAD, read_until_eof=True, auto_decompress=False
         )
@@ -140,6 +143,7 @@
         self,
         protocol: ReuseCheckingHandler,
         is_own: Callable[[Mapping[str, str]], bool] | None,
+        budget: ReceiveBudget,
     ) -> HttpResponse:
         while True:
             try:
@@ -148,23 +152,33 @@
                 raise ClientPayloadError(f"Malformed response: {error}.") from error
             if message.code < FIRST_FINAL_STATUS:
                 continue
-            body = await _read_body(protocol, message, payload)
+            body = await _read_body(protocol, message, payload, budget)
             if is_own is None or is_own(message.headers):
                 protocol.idle_timeout_s = _idle_timeout_s(message.headers)
                 return HttpResponse(message.code, body, message.headers)
 
 
 async def _read_body(
-    protocol: ReuseCheckingHandler, message: RawResponseMessage, payload: StreamReader
+    protocol: ReuseCheckingHandler,
+    message: RawResponseMessage,
+    payload: StreamReader,
+    budget: ReceiveBudget,
 ) -> bytes:
     body = bytearray()
-    while chunk := await payload.readany():
-        body += chunk
-        if len(body) > RESPONSE_LIMIT_BYTES:
-            raise WrongAnswerError("size")
-    if protocol.was_reset and _is_close_delimited(message):
-        raise ClientPayloadError("The connection was reset before the body's end.")
-    return bytes(body)
+    try:
+        while chunk := await payload.readany():
+            body += chunk
+            protocol.body_bytes += len(chunk)
+            is_within = budget.add(len(chunk), len(body))
+            if protocol.body_bytes > RESPONSE_LIMIT_BYTES or not is_within:
+                raise WrongAnswerError("size")
+        if protocol.was_reset and _is_close_delimited(message):
+            raise ClientPayloadError("The connection was reset before the body's end.")
+        return bytes(body)
+    finally:
+        budget.release(len(body))
+        # The traceback of an error would keep the bytes in memory.
+        body.clear()
 
 
 def _is_close_delimited(message: RawResponseMessage) -> bool:
--- a/burdockmill/platform/store_source.py
+++ b/burdockmill/platform/store_source.py
@@ -36,7 +36,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from aiohttp import ClientSession
+    from aiohttp import ClientResponse, ClientSession
 
     from burdockmill.forwarding.routes import RoutingTables
     from burdockmill.names import Address, Era, Revision
@@ -44,6 +44,8 @@
 # Added to a watch's wait for its timeout; a slow store answers within a few hundred
 # milliseconds.
 WATCH_MARGIN_MS = 1_500.0
+# Pages and events hold about a megabyte, or one value of that size in base64.
+ANSWER_LIMIT_BYTES = 8 * 1024 * 1024
 OK, NOT_FOUND, GONE = 200, 404, 410
 MILLISECONDS_PER_SECOND = 1_000
 
@@ -146,7 +148,7 @@
                 asyncio.timeout(timeout_s),
                 self._get_session().get(url) as response,
             ):
-                body = await response.read()
+                body = await self._read_body(response)
                 status = response.status
                 headers = response.headers
         except TimeoutError as error:
@@ -161,6 +163,15 @@
             self._raise_error(f"status {status}")
         return _Answer(body, era)
 
+    async def _read_body(self, response: ClientResponse) -> bytes:
+        body = bytearray()
+        async for chunk in response.content.iter_any():
+            body += chunk
+            if len(body) > ANSWER_LIMIT_BYTES:
+                response.close()
+                self._raise_error(f"an answer of more than {ANSWER_LIMIT_BYTES} bytes")
+        return bytes(body)
+
     def _read_era(self, headers: Mapping[str, str]) -> Era:
         """Return the era of an answer, the last one received if it states none.
 
