Ask a newer peer at once when a restarting host learns that the first was behind

A host that restarted and first heard of a peer behind the others, for instance one that a partition had just left, went on with its state for half a second or more: a withdrawn caller key or a departed upstream was in use again. After the first response it waited out the retry interval (700 ms for rules, 500 ms for the catalog) although other peers had reported a newer state. While a host starts, it now requests that at once.

--- a/burdockmill/systems/catalog_system.py
+++ b/burdockmill/systems/catalog_system.py
@@ -120,6 +120,9 @@
         self._apply(world, response.delta, sender, now_ms, actions)
         if not response.delta.is_whole:
             disseminate(world, GossipUpdates(catalog=(compact,)))
+        if world.is_starting(now_ms) and self._position_by_host:
+            # The first peer to respond may be behind the others.
+            world.due(self.name).schedule(REQUEST, now_ms)
 
     def _apply(
         self,
--- a/burdockmill/systems/config_system.py
+++ b/burdockmill/systems/config_system.py
@@ -285,6 +285,9 @@
         activate_changes(world, changes, now_ms)
         actions.append(record_activation(world, rules, source, now_ms))
         world.announce(RulesAccepted(rules, source, changes.upstreams))
+        if world.is_starting(now_ms) and self._revision_by_host:
+            # The first peer to respond may be behind the others.
+            world.due(self.name).schedule(REQUEST, now_ms)
 
     def _record_revision(
         self, world: World, sender: HostId, revision: Revision, now_ms: float
--- a/burdockmill/world.py
+++ b/burdockmill/world.py
@@ -23,6 +23,10 @@
     from burdockmill.tables.rows import MemberRow, UpstreamRow
 
 
+# A host has heard from its first peers within this time.
+START_PERIOD_MS = 2_000.0
+
+
 class World:
     """Store the tables, event queues and timers of the systems of one host.
 
@@ -70,6 +74,10 @@
             self._live_count_at_version = (self.members_version, live)
         return live
 
+    def is_starting(self, now_ms: float) -> bool:
+        """Return whether this host started so lately that its state may be behind."""
+        return now_ms - (self.started_ms or 0.0) < START_PERIOD_MS
+
     def put_event(self, system: str, event: Event) -> None:
         """Queue an event for a system."""
         self._inbox_by_system[system].append(event)
--- a/tests/builders_limited_fleet.py
+++ b/tests/builders_limited_fleet.py
@@ -172,6 +172,14 @@
     def limits_of(self, host):
         return self.virtual.engine_by_host[host].world.limits
 
+    def catalog_of(self, host):
+        return self.virtual.engine_by_host[host].world.catalog
+
+    def post_to_all(self, event, but=None):
+        for host in self.domain_by_host:
+            if host != but:
+                self.virtual.post(host, event)
+
     def apply(self, step, host):
         """Apply one step of a schedule to a host, if it can be applied."""
         engines = self.virtual.engine_by_host
