Refuse an answer without an id on a connection whose answers state theirs

An upstream that sends a second copy of an answer late, on a connection in use again, and without its request id, answered the next request with it: a copy that says that nothing ran was taken for the outcome of a request that was running, which may run once only and was then sent again. An answer without an id counted as one's own. It does so only while no answer on the connection has stated one; otherwise the attempt fails as a wrong answer, which may have run.

--- a/burdockmill/clients/_reuse_checking_handler.py
+++ b/burdockmill/clients/_reuse_checking_handler.py
@@ -22,6 +22,7 @@
     """Detect unsolicited and endless bytes, resets and expired idle timeouts.
 
     `body_bytes` is how much of the bodies was read since the request was sent.
+    `states_requests` is whether answers on this connection state whose they are.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -29,6 +30,7 @@
         self.expects_response = False
         self.was_reset = False
         self.idle_timeout_s: float | None = None
+        self.states_requests = False
         self.body_bytes = 0
         self._received_bytes = 0
 
--- a/burdockmill/clients/forwarding_client.py
+++ b/burdockmill/clients/forwarding_client.py
@@ -15,6 +15,7 @@
     AttemptEnd,
     AttemptOutcome,
     ConnectionState,
+    Ownership,
 )
 
 if TYPE_CHECKING:
@@ -148,10 +149,10 @@
             attempt.written_ms = now_ms
             return headers
 
-        def is_own(headers: Mapping[str, str]) -> bool:
-            matches = self._codec.belongs_to(request, headers)
-            self.counts["foreign_answers_skipped"] += not matches
-            return matches
+        def ownership(headers: Mapping[str, str]) -> Ownership:
+            stated = self._codec.ownership(request, headers)
+            self.counts["foreign_answers_skipped"] += stated is Ownership.OTHER
+            return stated
 
         loop = asyncio.get_running_loop()
         with pool.use(self._keeps_idle(action.upstream)) as session:
@@ -166,7 +167,7 @@
                     request.target,
                     request.body,
                     start_write,
-                    is_own,
+                    ownership,
                     self._budget,
                 )
             finally:
--- a/burdockmill/clients/no_retry_session.py
+++ b/burdockmill/clients/no_retry_session.py
@@ -19,6 +19,7 @@
 from burdockmill.clients._reuse_checking_handler import ReuseCheckingHandler
 from burdockmill.clients._upstream_codec import WrongAnswerError
 from burdockmill.clients.receive_budget import ReceiveBudget
+from burdockmill.forwarding.messages import Ownership
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -86,14 +87,15 @@
         target: str,
         body: bytes,
         start_write: Callable[[], CIMultiDict[str]],
-        is_own: Callable[[Mapping[str, str]], bool] | None = None,
+        ownership: Callable[[Mapping[str, str]], Ownership] | None = None,
         budget: ReceiveBudget | None = None,
     ) -> HttpResponse:
         """Send a request and return its response.
 
         `start_write` is called once a connection is available. It returns the request's
         headers, or raises to stop the request before anything is written. Responses
-        whose headers `is_own` rejects belong to another request and are skipped.
+        that `ownership` assigns to another request are skipped. One that states no
+        request is accepted unless earlier ones on its connection stated theirs.
         `budget` bounds the bytes of all answers that share it.
         Raise ClientError, OSError, WrongAnswerError or the errors of `start_write`.
         """
@@ -107,7 +109,7 @@
         protocol = cast("ReuseCheckingHandler", connection.protocol)
         try:
             await self._write(protocol, method, target, headers, body)
-            response = await self._read(protocol, is_own, budget or ReceiveBudget())
+            response = await self._read(protocol, ownership, budget or ReceiveBudget())
             self._connector.record_idle_timeout(protocol.idle_timeout_s)
         except BaseException:
             connection.close()
@@ -142,7 +144,7 @@
     async def _read(
         self,
         protocol: ReuseCheckingHandler,
-        is_own: Callable[[Mapping[str, str]], bool] | None,
+        ownership: Callable[[Mapping[str, str]], Ownership] | None,
         budget: ReceiveBudget,
     ) -> HttpResponse:
         while True:
@@ -153,7 +155,13 @@
             if message.code < FIRST_FINAL_STATUS:
                 continue
             body = await _read_body(protocol, message, payload, budget)
-            if is_own is None or is_own(message.headers):
+            stated = Ownership.UNSTATED
+            if ownership is not None:
+                stated = ownership(message.headers)
+            if stated is Ownership.UNSTATED and protocol.states_requests:
+                raise WrongAnswerError("request id")
+            protocol.states_requests = stated is not Ownership.UNSTATED
+            if stated is not Ownership.OTHER:
                 protocol.idle_timeout_s = _idle_timeout_s(message.headers)
                 return HttpResponse(message.code, body, message.headers)
 
--- a/burdockmill/forwarding/codecs.py
+++ b/burdockmill/forwarding/codecs.py
@@ -17,6 +17,7 @@
         AttemptOutcome,
         ForwardedRequest,
         MergedAnswer,
+        Ownership,
         Registration,
         UpstreamAnswer,
     )
@@ -51,8 +52,10 @@
         """Return the headers of an attempt; `remaining_ms` is its remaining time."""
 
     @abstractmethod
-    def belongs_to(self, request: ForwardedRequest, headers: Mapping[str, str]) -> bool:
-        """Return whether response headers belong to a request."""
+    def ownership(
+        self, request: ForwardedRequest, headers: Mapping[str, str]
+    ) -> Ownership:
+        """Return whether response headers state that they belong to a request."""
 
     @abstractmethod
     def outcome(self, exchanged: HttpResponse) -> AttemptOutcome:
--- a/burdockmill/forwarding/messages.py
+++ b/burdockmill/forwarding/messages.py
@@ -128,6 +128,14 @@
     BUSY = "busy"
 
 
+class Ownership(StrEnum):
+    """Enumerate whose answer a response is, by the request id that it states."""
+
+    OWN = "own"
+    OTHER = "other"
+    UNSTATED = "unstated"
+
+
 class MergedAnswer(NamedTuple):
     """Store the merged records of a search, and the stamps of the merged parts.
 
--- a/burdockmill/platform/upstream_codec.py
+++ b/burdockmill/platform/upstream_codec.py
@@ -13,6 +13,7 @@
     AttemptEnd,
     AttemptOutcome,
     ForwardedRequest,
+    Ownership,
     Registration,
     UpstreamAnswer,
 )
@@ -61,9 +62,14 @@
             headers["Content-Length"] = str(len(request.body))
         return headers
 
-    def belongs_to(self, request: ForwardedRequest, headers: Mapping[str, str]) -> bool:
-        """Return whether response headers contain this request's id, or no id."""
-        return headers.get(REQUEST_ID, request.request_id) == request.request_id
+    def ownership(
+        self, request: ForwardedRequest, headers: Mapping[str, str]
+    ) -> Ownership:
+        """Return whether response headers contain this request's id."""
+        stated = headers.get(REQUEST_ID)
+        if stated is None:
+            return Ownership.UNSTATED
+        return Ownership.OWN if stated == request.request_id else Ownership.OTHER
 
     def outcome(self, exchanged: HttpResponse) -> AttemptOutcome:
         """Return the outcome of an attempt from its complete response."""
