Refuse a page of the store whose keys are of another page

A second copy of the answer to the configuration, received in place of the registrations, read as if every upstream had left; a copy of a page in place of the next one, as if the rest had. Keys outside the requested prefix, or not after the last page, now fail the read, which is repeated. Both cases of the test failed before.

--- a/burdockmill/platform/store_source.py
+++ b/burdockmill/platform/store_source.py
@@ -107,6 +107,10 @@
                     self._raise_error(
                         f"era {answer.era} began while era {first.era} was read"
                     )
+                for item in page.items:
+                    # A second copy of an earlier answer is not the page asked for.
+                    if not item.key.startswith(prefix) or item.key <= after:
+                        self._raise_error(f"the key {item.key!r} is of another page")
                 items.extend(page.items)
                 if not page.has_more or not page.items:
                     break
--- a/tests/test_reported_faults.py
+++ b/tests/test_reported_faults.py
@@ -1,10 +1,13 @@
 """Check faults that operators of similar systems reported."""
 
 import asyncio
+import json
 
 import pytest
 
+from burdockmill.clients.catalog_source import StoreError
 from burdockmill.forwarding.messages import AttemptEnd
+from burdockmill.platform.store_source import StoreSource
 from tests.builders_forwarding_node import Site
 from tests.builders_platform import StandinUpstream
 from tests.test_forwarding_client import Caller
@@ -73,3 +76,34 @@
 def range_answer(keys, has_more):
     items = [{"key": key, "rev": 1, "value": ""} for key in keys]
     return {"items": items, "store-revision": 3, "has-more": has_more}
+
+
+@pytest.mark.parametrize(
+    "copies",
+    [
+        # the configuration's answer once more, in place of the registrations
+        [range_answer(["op/config"], False)] * 2,
+        # the first page of the registrations once more, in place of the second
+        [
+            range_answer(["op/config"], False),
+            range_answer(["servers/a", "servers/b"], True),
+            range_answer(["servers/a", "servers/b"], False),
+        ],
+    ],
+)
+async def test_a_second_copy_of_a_stores_answer_is_not_another_page(copies):
+    """All upstreams would seem to have left, or stay in use although they had."""
+    bodies = [json.dumps(one).encode() for one in copies]
+
+    async def serve(reader, writer):
+        for body in bodies:
+            await reader.readuntil(b"\r\n\r\n")
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            writer.write(head.encode() + body)
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    source = StoreSource(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+    with pytest.raises(StoreError):
+        await source.read_all(1_000.0)
+    await source.close()
+    server.close()
