End an attempt that fails with an unexpected error

An error that no one foresaw, raised while an answer was decoded, left its attempt without an end: the request waited for its deadline, and the upstream kept an attempt in flight for ever, which made it look slower and slower. Such an attempt now ends as broken (it may have run), with the error in the log. The test failed before.

--- a/burdockmill/clients/forwarding_client.py
+++ b/burdockmill/clients/forwarding_client.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from aiohttp import ClientError, ClientPayloadError
+from loguru import logger
 
 from burdockmill.clients._upstream_codec import WrongAnswerError
 from burdockmill.clients._upstream_pool import UpstreamPool
@@ -216,6 +217,6 @@
         return AttemptOutcome(AttemptEnd.NOT_SENT, detail=detail)
     if isinstance(error, ClientPayloadError | WrongAnswerError):
         return AttemptOutcome(AttemptEnd.WRONG_ANSWER, detail=detail)
-    if isinstance(error, ClientError | OSError):
-        return AttemptOutcome(AttemptEnd.BROKEN, detail=detail)
-    raise error
+    if not isinstance(error, ClientError | OSError):
+        logger.opt(exception=error).error("upstream: an attempt failed unexpectedly.")
+    return AttemptOutcome(AttemptEnd.BROKEN, detail=detail)
--- a/tests/test_reported_faults.py
+++ b/tests/test_reported_faults.py
@@ -107,3 +107,17 @@
         await source.read_all(1_000.0)
     await source.close()
     server.close()
+
+
+async def test_an_unexpected_error_of_a_codec_ends_its_attempt_alone(upstream, caller):
+    """The upstream is not left with an attempt that never ends."""
+
+    def fail(response):
+        raise IndexError("unexpected")
+
+    outcome_of = caller.client._codec.outcome
+    caller.client._codec.outcome = fail
+    outcome = await caller.send()
+    assert outcome.end is AttemptEnd.BROKEN
+    caller.client._codec.outcome = outcome_of
+    assert (await caller.send()).end is AttemptEnd.ANSWERED
