Wait for the first request of a connection that was accepted during a stop

A planned stop closed every connection without a request, also one that it had just accepted, whose first request was on its way: the client saw a reset. A new connection now has half a second for its first request before it counts as idle. The test failed before (no answer).

--- a/burdockmill/surfaces/_bounded_server.py
+++ b/burdockmill/surfaces/_bounded_server.py
@@ -23,6 +23,8 @@
 
 HEADER_TIMEOUT_SECONDS = 10.0
 KEEPALIVE_SECONDS = 75.0
+# A client sends its first request within this time of connecting.
+FIRST_REQUEST_SECONDS = 0.5
 CONNECTIONS_RETRY_AFTER_MS = 500
 CLIENT_ERROR = 400
 SERVER_ERROR = 500
@@ -102,10 +104,23 @@
         self._bounds = server.bounds
         self._server = server
         self._header_timer: asyncio.TimerHandle | None = None
+        self._accepted_s = 0.0
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether the connection waits for a request that may not come.
+
+        The first request of a new connection is certain to come.
+        """
+        if self._waiter is None or self._waiter.done() or self._messages:
+            return False
+        age_s = self._loop.time() - self._accepted_s
+        return self._request_count > 0 or age_s > FIRST_REQUEST_SECONDS
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Accept a connection, or close it with an error above `connections_limit`."""
         super().connection_made(transport)
+        self._accepted_s = self._loop.time()
         limit = self._bounds.connections_limit
         if len(self._server.connections) > limit:
             error = OverloadedError(
--- a/burdockmill/surfaces/listener.py
+++ b/burdockmill/surfaces/listener.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, cast
 
 from aiohttp import web
 
@@ -13,7 +13,7 @@
     from socket import socket
 
     from burdockmill.names import Address
-    from burdockmill.surfaces._bounded_server import ServerBounds
+    from burdockmill.surfaces._bounded_server import BoundedHandler, ServerBounds
 
     RequestHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -66,7 +66,8 @@
         server = self._runner.server
         if server is None:
             return 0
-        idle = [connection for connection in server.connections if is_idle(connection)]
+        handlers = cast("list[BoundedHandler]", server.connections)
+        idle = [handler for handler in handlers if handler.is_idle]
         for handler in idle:
             # close() alone would leave the transport open and its bytes unread.
             handler.force_close()
@@ -82,9 +83,3 @@
         """Close all connections."""
         self._site = None
         await self._runner.cleanup()
-
-
-def is_idle(handler: web.RequestHandler) -> bool:
-    """Return whether a connection waits for its next request."""
-    waiter = handler._waiter
-    return waiter is not None and not waiter.done() and not handler._messages
--- a/tests/test_reported_faults.py
+++ b/tests/test_reported_faults.py
@@ -109,6 +109,24 @@
     server.close()
 
 
+async def test_a_connection_accepted_during_a_stop_gets_an_answer_to_its_first_request(
+    site,
+):
+    """Under load, a client's first bytes arrive some time after its connection."""
+    node = site.nodes[0]
+    client = site.client()
+    host, port = client.address.split(":")
+    stopping = asyncio.create_task(node.stop())
+    # The load balancer's lag is nearly over when the connection is accepted.
+    await asyncio.sleep(0.09)
+    client.reader, client.writer = await asyncio.open_connection(host, port)
+    await asyncio.sleep(0.1)
+    answer = await client.ask("/fetch/x")
+    assert answer.status == 200
+    assert answer.headers["connection"] == "close"
+    await stopping
+
+
 async def test_an_unexpected_error_of_a_codec_ends_its_attempt_alone(upstream, caller):
     """The upstream is not left with an attempt that never ends."""
 
