Drop headers that cannot be sent on, and take no age from the future

A header with a control character in an upstream's answer made the write to the client fail: the connection was closed although the request had run and been answered. Such a header is dropped now, and the answer returned. The test failed before. A peer's report of a limit with a negative age would have outlived all later ones; it counts as new. The other tests of the reported faults passed: answers that end within their head or without their last chunk, and lost answers of requests that may run once.

--- a/burdockmill/platform/headers.py
+++ b/burdockmill/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 from multidict import MultiMapping
@@ -14,14 +15,22 @@
     from burdockmill.forwarding.messages import Headers
 
 
+CONTROL_CHARACTERS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+
+
 def end_to_end(
     headers: Mapping[str, str], excluded: frozenset[str] = frozenset()
 ) -> Headers:
-    """Return all but hop-by-hop and `excluded` headers; `excluded` is in lower case."""
+    """Return all but hop-by-hop, `excluded` and unsendable headers.
+
+    `excluded` is in lower case. A header with control characters cannot be sent on.
+    """
     connection_options = frozenset(_connection_options(headers))
     dropped = HOP_BY_HOP | excluded | connection_options
     return tuple(
-        (name, value) for name, value in headers.items() if name.lower() not in dropped
+        (name, value)
+        for name, value in headers.items()
+        if name.lower() not in dropped and not CONTROL_CHARACTERS.search(value)
     )
 
 
--- a/burdockmill/tables/upstream_limits.py
+++ b/burdockmill/tables/upstream_limits.py
@@ -139,7 +139,7 @@
             if report.limit_per_s is None:
                 return
             row = self._add(incarnation, domain)
-        heard_ms = now_ms - report.age_ms
+        heard_ms = now_ms - max(0.0, report.age_ms)
         if not row.is_hearsay and heard_ms <= row.heard_ms:
             return
         row.limit_per_s = math.inf if report.limit_per_s is None else report.limit_per_s
--- a/tests/test_reported_faults.py
+++ b/tests/test_reported_faults.py
@@ -139,3 +139,59 @@
     assert outcome.end is AttemptEnd.BROKEN
     caller.client._codec.outcome = outcome_of
     assert (await caller.send()).end is AttemptEnd.ANSWERED
+
+
+@pytest.mark.parametrize(
+    "extra", ["Odd: \xff\xfe\r\n", "Odd: \x7f\r\n", "Odd:\r\n", "Connection: ,,\r\n"]
+)
+async def test_odd_headers_of_an_upstream_do_not_hide_its_answer(site, extra):
+    async def script(self, request, writer):
+        answer = self.answer(request, extra="MARK")
+        writer.write(answer.replace(b"MARK", extra.encode("latin-1")))
+
+    site.upstream_by_service["c"].script = script
+    client = site.client()
+    answer = await client.ask("/fetch/x")
+    assert answer.status == 200
+    assert answer.body == b"c" * 16
+    site.upstream_by_service["c"].script = None
+    assert (await site.client().ask("/fetch/x")).status == 200
+
+
+@pytest.mark.parametrize("cut", [5, 20, 60, 100])
+async def test_an_answer_that_ends_within_its_head_is_no_success(upstream, caller, cut):
+    async def script(self, request, writer):
+        writer.write(self.answer(request)[:cut])
+        await writer.drain()
+        return True
+
+    upstream.script = script
+    outcome = await caller.send()
+    assert outcome.end in (AttemptEnd.WRONG_ANSWER, AttemptEnd.BROKEN)
+
+
+@pytest.mark.parametrize("tail", [b"4\r\nbody\r\n", b"4\r\nbo", b"4\r\nbody\r\n0\r\n"])
+async def test_a_chunked_answer_without_its_end_is_no_success(upstream, caller, tail):
+    async def script(self, request, writer):
+        head = self.answer(request, b"").replace(
+            b"Content-Length: 0", b"Transfer-Encoding: chunked"
+        )
+        writer.write(head + tail)
+        await writer.drain()
+        return True
+
+    upstream.script = script
+    assert (await caller.send()).end is AttemptEnd.WRONG_ANSWER
+
+
+async def test_a_lost_answer_of_a_request_that_may_run_once_is_not_called_not_run(site):
+    upstream = site.upstream_by_service["c"]
+
+    async def script(self, request, writer):
+        return True
+
+    upstream.script = script
+    answer = await site.client().ask("/once/x", method="POST")
+    assert answer.status == 502
+    assert json.loads(answer.body)["ran"] == "unknown"
+    assert len(upstream.requests) == 1
