Hold the share of the repeat budget when hosts seem down after a quiet time

The number of hosts that share the allowance of repeats was held for a minute after it last changed, not after hosts were last seen alive: if nothing had changed for a minute, a partition at once gave each part the allowance of all. The hold now begins when the number falls. The test failed before. The class is shared with the allocation of limits, which divides a limit in a partition.

--- a/burdockmill/policies/repeat_budget.py
+++ b/burdockmill/policies/repeat_budget.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from burdockmill.forwarding.messages import AttemptKind
+from burdockmill.policies.held_host_count import HeldHostCount
 
 if TYPE_CHECKING:
     from burdockmill.names import ServiceId
@@ -31,8 +32,6 @@
 }
 # A host that has just started may replace one that spent budget in the same window.
 STARTUP_FRACTION = 0.5
-# Hosts that seem to be down may be partitioned and keep spending their share.
-HOST_COUNT_HOLD_MS = 60_000.0
 
 
 class RepeatLimits(NamedTuple):
@@ -69,17 +68,14 @@
         self.counts: Counter[str] = Counter()
         self.limits = limits
         self.hosts = 0
-        self._max_hosts = 1
-        self._max_hosts_until_ms = 0.0
+        self._held_hosts = HeldHostCount()
         self._started_ms = started_ms
         self._times_by_service: dict[ServiceId, _SendTimes] = {}
 
     def share_among(self, hosts: int, now_ms: float) -> None:
         """Divide the allowance among the hosts that may spend it in the same window."""
         self.hosts = hosts
-        if hosts >= self._max_hosts or now_ms >= self._max_hosts_until_ms:
-            self._max_hosts = max(1, hosts)
-        self._max_hosts_until_ms = now_ms + HOST_COUNT_HOLD_MS
+        self._held_hosts.update(hosts, now_ms)
 
     def deposit(self, service: ServiceId, now_ms: float) -> None:
         """Record a request's first attempt, which raises the service's budget."""
@@ -108,7 +104,9 @@
         """Return how many repeats `usable_fraction` of the limit still allows."""
         times = self._times_by_service.setdefault(service, _SendTimes())
         times.discard_until(now_ms - self.limits.window_ms)
-        allowance = ALLOWANCE_FRACTION * self.limits.allowance / self._max_hosts
+        allowance = (
+            ALLOWANCE_FRACTION * self.limits.allowance / self._held_hosts.greatest
+        )
         if now_ms - self._started_ms < self.limits.window_ms:
             allowance *= STARTUP_FRACTION
         ratio_share = RATIO_FRACTION * self.limits.ratio * len(times.requests_ms)
--- a/tests/test_forwarding_policies.py
+++ b/tests/test_forwarding_policies.py
@@ -456,3 +456,12 @@
     expected = expected_by_domain(planner)
     assert expected["gda-a"] < 90.0
     assert max(expected, key=expected.get) == "waw-a"
+
+
+def test_a_partition_after_a_quiet_time_does_not_raise_the_share_of_a_budget():
+    """Each part of nine hosts would spend the allowance of all if it saw five."""
+    budget = RepeatBudget(LIMITS, 0.0)
+    budget.share_among(9, 0.0)
+    before = budget.remaining("payroll", 100_000.0)
+    budget.share_among(5, 100_000.0)
+    assert budget.remaining("payroll", 100_000.0) == before
