--- a/burdockmill/tables/upstream_limits.py
+++ b/burdockmill/tables/upstream_limits.py
@@ -14,7 +14,7 @@
     from collections.abc import Iterator
 
     from burdockmill.forwarding.messages import Registration
-    from burdockmill.names import DomainId, UpstreamId
+    from burdockmill.names import DomainId
 
 # Rows beyond this number are discarded, oldest first.
 ROWS_LIMIT = 4_096
@@ -165,10 +165,6 @@
         row.is_hearsay = True
         return True
 
-    def remove(self, upstream: UpstreamId, started_ms: int) -> None:
-        """Remove the row of an incarnation that is gone."""
-        self._row_by_incarnation.pop(Incarnation(upstream, started_ms), None)
-
     def _add(self, incarnation: Incarnation, domain: DomainId) -> LimitRow:
         if len(self._row_by_incarnation) >= ROWS_LIMIT:
             del self._row_by_incarnation[next(iter(self._row_by_incarnation))]
