--- a/tests/test_limited_upstreams.py
+++ b/tests/test_limited_upstreams.py
@@ -9,6 +9,7 @@
 from burdockmill.forwarding.messages import AttemptKind
 from burdockmill.forwarding.token_gate import TokenGate
 from burdockmill.forwarding.upstream_notices import Incarnation
+from burdockmill.policies.token_allocation import TokenBucket
 from burdockmill.systems._limit_allocator import LimitAllocator
 from burdockmill.tables.upstream_limits import UpstreamLimits
 from tests.builders_forwarding import (
@@ -185,6 +186,31 @@
         assert limits.of(one).stock.count(100.0) == 5
 
 
+def granted_in(bucket, seconds, limit_per_s):
+    """Return how many tokens a bucket issues if it is asked every 10 ms."""
+    times_ms = range(0, seconds * 1_000, 10)
+    return sum(bucket.grant(100, limit_per_s, float(at_ms)) for at_ms in times_ms)
+
+
+@pytest.mark.parametrize("limit_per_s", [0.5, 3.9, 16.0, 250.0])
+def test_tokens_are_issued_at_the_rate_of_the_limit(limit_per_s):
+    granted = granted_in(TokenBucket(0.0, is_takeover=False), 20, limit_per_s)
+    assert 0.95 * 20 * limit_per_s - 1 <= granted <= 20 * limit_per_s
+
+
+def test_a_host_that_takes_over_issues_half_of_the_limit_at_first():
+    """The host before it may still issue the whole limit to some."""
+    granted = granted_in(TokenBucket(0.0, is_takeover=True), 4, 16.0)
+    assert 0.9 * 32 <= granted <= 32
+
+
+def test_few_unused_tokens_accumulate():
+    bucket = TokenBucket(0.0, is_takeover=False)
+    bucket.grant(0, 16.0, 60_000.0)
+    assert bucket.grant(1_000, 16.0, 60_000.0) == 8
+    assert bucket.wait_ms(4, 16.0, 60_000.0) == 250.0
+
+
 def test_waiting_attempts_get_tokens_by_the_rank_of_their_routes():
     limits = UpstreamLimits()
     gate = TokenGate(limits, lambda event: None)
