--- a/tests/builders_limited_fleet.py
+++ b/tests/builders_limited_fleet.py
@@ -89,7 +89,11 @@
 
 
 class FleetOfEngines(VirtualFleet):
-    """Run the engines of forwarding hosts."""
+    """Run the engines of forwarding hosts; messages of `lost_types` are lost."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.lost_types = set()
 
     def add_host(self, host, domain):
         rng = random.Random(self.rng.getrandbits(64))
@@ -97,6 +101,10 @@
         self._timer_by_host.pop(host, None)
         return self.engine_by_host[host]
 
+    def _deliver(self, sender, to, message):
+        if type(message) not in self.lost_types:
+            super()._deliver(sender, to, message)
+
 
 class LimitedFleet:
     """Send the requests of a route through the hosts of a virtual fleet."""
@@ -172,6 +180,14 @@
     def limits_of(self, host):
         return self.virtual.engine_by_host[host].world.limits
 
+    def tokens_held(self):
+        """Return how many valid tokens all hosts hold."""
+        return sum(
+            row.stock.count(self.now_ms)
+            for host in self.virtual.engine_by_host
+            for _, row in self.limits_of(host).rows()
+        )
+
     def catalog_of(self, host):
         return self.virtual.engine_by_host[host].world.catalog
 
--- a/tests/test_limited_upstreams.py
+++ b/tests/test_limited_upstreams.py
@@ -9,6 +9,9 @@
 from burdockmill.forwarding.messages import AttemptKind
 from burdockmill.forwarding.token_gate import TokenGate
 from burdockmill.forwarding.upstream_notices import Incarnation
+from burdockmill.messages.actions import SendToPeer
+from burdockmill.messages.events import PeerReceived
+from burdockmill.messages.limits import TokenGrant, TokenRequest
 from burdockmill.policies.token_allocation import TokenBucket
 from burdockmill.systems._limit_allocator import LimitAllocator
 from burdockmill.tables.upstream_limits import UpstreamLimits
@@ -238,16 +241,66 @@
     assert limits.of(one).stock.count(10.0) == 1
 
 
-def test_tokens_expire_and_a_late_grant_is_dropped():
-    """A host that froze may not use what was granted before."""
+def test_tokens_expire_a_second_after_their_request():
     upstreams = make_upstreams(16.0)
     fleet = LimitedFleet(make_single_route(), upstreams)
-    fleet.load(90.0, 500.0, 20_000.0).run(12_000.0)
-    fleet.virtual.paused.add("waw-a-1")
-    fleet.run(16_000.0)
-    fleet.virtual.resume("waw-a-1")
-    for _, row in fleet.limits_of("waw-a-1").rows():
-        assert row.stock.count(fleet.now_ms) == 0
+    fleet.load(60.0, 500.0, 12_000.0).run(12_000.0)
+    assert fleet.tokens_held() > 0
+    # Some seconds pass until no host expects more requests.
+    fleet.run(17_000.0)
+    assert fleet.tokens_held() == 0
+
+
+def test_a_host_that_does_not_allocate_a_limit_grants_nothing():
+    upstreams = make_upstreams(16.0)
+    fleet = LimitedFleet(make_single_route(), upstreams)
+    fleet.load(60.0, 500.0, 9_000.0).run(12_000.0)
+    allocator = allocator_of(fleet, upstreams[0])
+    incarnation = Incarnation.of(upstreams[0].registration)
+    granted = {}
+    # A host that has just begun to allocate has no tokens yet, so each is asked twice.
+    for at_ms in (12_000.0, 13_000.0):
+        fleet.run(at_ms)
+        for host in fleet.domain_by_host:
+            engine = fleet.virtual.engine_by_host[host]
+            report = engine.world.limits.row(incarnation).report(at_ms)
+            request = TokenRequest(*incarnation, "waw-a", 5, 0.0, report)
+            engine.post(PeerReceived("elsewhere", request))
+            [granted[host]] = [
+                action.message.granted
+                for action in engine.tick(at_ms)
+                if isinstance(action, SendToPeer) and action.host == "elsewhere"
+            ]
+    assert granted.pop(allocator) == 5
+    assert set(granted.values()) == {0}
+
+
+def test_a_host_whose_requests_are_not_answered_uses_little_of_the_limit():
+    upstreams = make_upstreams(16.0, limited=1)
+    fleet = LimitedFleet(make_single_route(), upstreams)
+    fleet.load(120.0, 500.0, 9_000.0).run(9_000.0)
+    fleet.virtual.lost_types.add(TokenGrant)
+    fleet.run(11_000.0)
+    before = dict(upstreams[0].arrivals_by_host)
+    fleet.load(120.0, 11_000.0, 41_000.0).run(42_000.0)
+    # The host that allocates the limit grants itself tokens still.
+    before[allocator_of(fleet, upstreams[0])] = math.inf
+    sent = sum(
+        max(0, count - before.get(host, 0))
+        for host, count in upstreams[0].arrivals_by_host.items()
+    )
+    assert 1 <= sent <= 0.1 * 16.0 * 30.0 + 8
+
+
+def test_a_grant_that_arrives_late_is_dropped():
+    """A host that froze may not use what was granted before it did."""
+    fleet = LimitedFleet(make_single_route(), make_upstreams(16.0))
+    fleet.load(60.0, 500.0, 9_000.0).run(9_500.0)
+    [(incarnation, row), *_] = fleet.limits_of("waw-a-1").rows()
+    before = row.stock.count(fleet.now_ms)
+    grant = TokenGrant(*incarnation, 5, 0.0, 3_000.0, row.report(fleet.now_ms))
+    fleet.virtual.post("waw-a-1", PeerReceived("waw-a-2", grant))
+    assert row.stock.count(fleet.now_ms) == before
 
 
 @pytest.mark.parametrize("how", ["killed", "frozen", "restarted"])
