--- a/tests/test_restart_from_stale_peer.py
+++ b/tests/test_restart_from_stale_peer.py
@@ -11,7 +11,8 @@
     make_single_route,
     replicas_of,
 )
-from tests.builders_limited_fleet import LimitedFleet, LimitedUpstream
+from tests.builders_limited_fleet import LimitedFleet
+from tests.builders_limited_upstreams import LimitedUpstream
 
 # The round trips to the first peer and to the newest one.
 NEWEST_WITHIN_MS = 100.0
