Log by which digest a request that broke off is known when it comes again

On call one could not tell from the logs that requests with different ids, at different hosts, were the same request: each coming has its own id, and the lines name nothing else of it. Answer and attempt lines of requests with an attempt that broke off now name a digest of method, host, target, caller and body.

--- a/burdockmill/forwarding/messages.py
+++ b/burdockmill/forwarding/messages.py
@@ -13,6 +13,7 @@
 class ForwardedRequest(NamedTuple):
     """Store a client's request; `target` is the path and query as received.
 
+    `caller` are the credentials that the client sent, empty if there were none.
     `received_ms` and `deadline_ms` are times of this host's clock. `spent_ms` is the
     estimated time between the client's first packet and `received_ms`.
     """
@@ -26,6 +27,7 @@
     received_ms: float
     deadline_ms: float
     spent_ms: float
+    caller: str = ""
 
 
 class Registration(NamedTuple):
@@ -89,6 +91,10 @@
 _NOT_RUN = _NEVER_WRITTEN | {AttemptEnd.NOT_RUN, AttemptEnd.WRONG_INSTANCE}
 
 
+# Ends of attempts whose connection ended, or went wrong, before an answer was complete.
+BROKEN_OFF = frozenset({AttemptEnd.BROKEN, AttemptEnd.WRONG_ANSWER})
+
+
 class UpstreamAnswer(NamedTuple):
     """Store an upstream's complete answer; `stamp` is its signature."""
 
--- a/burdockmill/forwarding/request_log.py
+++ b/burdockmill/forwarding/request_log.py
@@ -7,11 +7,13 @@
 
 from burdockmill.errors import BurdockmillError
 from burdockmill.forwarding.messages import (
+    BROKEN_OFF,
     AttemptEnd,
     AttemptKind,
     MergedAnswer,
     RequestKind,
 )
+from burdockmill.forwarding.request_digest import digest_of
 from burdockmill.messages.actions import LogDecision
 
 if TYPE_CHECKING:
@@ -21,6 +23,7 @@
     from burdockmill.forwarding.actions import Conclude, SendAttempt
     from burdockmill.forwarding.messages import AttemptOutcome
     from burdockmill.forwarding.planner import Planner
+    from burdockmill.forwarding.request_digest import RequestDigest
     from burdockmill.forwarding.request_run import RequestRun
     from burdockmill.metrics import Metrics
     from burdockmill.world import World
@@ -86,6 +89,7 @@
             "service": run.parts[action.part].service,
             "kind": action.kind.value,
             "since_received_ms": _since_received_ms(run, now_ms),
+            "digest": _digest_if_broken_off(run, [outcome]),
         }
         choice = f"{outcome.end.value} at {action.upstream.upstream}"
         self._write(ATTEMPT, run, choice, outcome.detail, inputs, now_ms)
@@ -163,6 +167,7 @@
                 for part in run.parts
                 for attempt in _attempts(part.attempts, run)
             ],
+            "digest": _digest_if_broken_off(run, _outcomes_of(run)),
         }
         self._write(ANSWER, run, choice, action.note, inputs, now_ms)
 
@@ -194,6 +199,20 @@
     return RequestKind.FORWARD if run.route.shards is None else RequestKind.SEARCH
 
 
+def _outcomes_of(run: RequestRun) -> list[AttemptOutcome]:
+    rows = [row for part in run.parts for row in part.attempts]
+    return [row.outcome for row in rows if row.outcome is not None]
+
+
+def _digest_if_broken_off(
+    run: RequestRun, outcomes: list[AttemptOutcome]
+) -> RequestDigest | None:
+    """Return what to find a request by when it comes again, if an attempt broke off."""
+    if any(outcome.end in BROKEN_OFF for outcome in outcomes):
+        return digest_of(run.request)
+    return None
+
+
 def _outcome_of(run: RequestRun, result: object) -> tuple[str, str]:
     match result:
         case BurdockmillError():
--- a/burdockmill/platform/ingress_codec.py
+++ b/burdockmill/platform/ingress_codec.py
@@ -18,6 +18,7 @@
 )
 from burdockmill.platform.headers import end_to_end
 from burdockmill.platform.wire_names import (
+    AUTHORIZATION,
     DEADLINE_MS,
     EXPECT_UPSTREAM,
     PART_STAMPS,
@@ -67,6 +68,7 @@
             now_ms,
             now_ms + _deadline_ms(headers.get(DEADLINE_MS)),
             self._client_wait_ms(request),
+            headers.get(AUTHORIZATION, ""),
         )
 
     def response(self, result: UpstreamAnswer | MergedAnswer) -> web.Response:
--- a/burdockmill/platform/wire_names.py
+++ b/burdockmill/platform/wire_names.py
@@ -5,6 +5,7 @@
 REQUEST_ID = "X-Burdockmill-Request-Id"
 # Milliseconds that a client still waits, or that an attempt has (a whole number).
 DEADLINE_MS = "X-Burdockmill-Deadline-Ms"
+AUTHORIZATION = "Authorization"
 EXPECT_UPSTREAM = "X-Burdockmill-Expect-Instance"
 NOT_RUN = "X-Burdockmill-Not-Executed"
 # The upstream's signature of its answer.
