Hold back requests that crash the upstreams that run them, on all hosts

No host knew a request again, so none could remember what happened to it.

Hosts now know a request by a digest of method, host, target, caller and body. An upstream that ends under an attempt is recorded by its incarnation, and every answer clears the request. The crashes of one cause end attempts that were sent in ignorance of each other; so a crash counts as deeper only if an earlier one was known when the attempt was sent. Three in such a row, without an answer, and all hosts refuse the request at once with 503, nothing sent. Before that a request with a crash is sent with one attempt at a time, and any answer releases the rest of it.

--- a/burdockmill/_forwarding_reports.py
+++ b/burdockmill/_forwarding_reports.py
@@ -45,6 +45,7 @@
         world = node.engine.world
         catalog = world.catalog
         now_ms = node.clock.now_ms()
+        explain = node.data_path.guard.explain
         return {
             "host": node.settings.host,
             "domain": node.settings.domain,
@@ -55,6 +56,11 @@
             "catalog_age_ms": round(now_ms - world.fleet.confirmed_ms),
             "requests_open": len(node.data_path.forwarder.open_runs),
             "members": members_of(world),
+            "requests_held_back": [
+                {"digest": row.key, **(explain(row.key, now_ms) or {})}
+                for row in world.suspects
+                if row.is_held
+            ],
             "upstreams": [
                 {
                     "upstream": registration.upstream,
@@ -91,6 +97,8 @@
         metrics.set_event_counts("repeats", node.data_path.budget.counts)
         metrics.set_event_counts("limits", world.limits.counts)
         metrics.set_event_counts("tokens", node.data_path.gate.counts)
+        metrics.set_event_counts("suspects", world.suspects.counts)
+        metrics.set_event_counts("crash_guard", node.data_path.guard.counts)
         metrics.set_event_counts("notices", node.data_path.notices.counts)
         if node.log_writer is not None:
             left_out_counts = {"lines_left_out_by_reader": node.log_writer.left_out}
--- a/burdockmill/clients/forwarding_client.py
+++ b/burdockmill/clients/forwarding_client.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from aiohttp import ClientError, ClientPayloadError
+from aiohttp import ClientConnectionError, ClientError, ClientPayloadError
 from loguru import logger
 
 from burdockmill.clients._upstream_codec import WrongAnswerError
@@ -34,6 +34,7 @@
 # Connecting takes one round trip and a few milliseconds at the upstream. An upstream
 # that takes longer is unreachable; nothing was sent yet, so giving up is safe.
 CONNECT_TIMEOUT_MS = 300.0
+CUT_OFF_ERRORS = (ClientPayloadError, ClientConnectionError, OSError)
 
 
 class InFlightAttempt:
@@ -215,8 +216,10 @@
     detail = f"{type(error).__name__}: {error}"
     if not attempt.written:
         return AttemptOutcome(AttemptEnd.NOT_SENT, detail=detail)
+    is_cut_off = isinstance(error, CUT_OFF_ERRORS)
     if isinstance(error, ClientPayloadError | WrongAnswerError):
-        return AttemptOutcome(AttemptEnd.WRONG_ANSWER, detail=detail)
+        end = AttemptEnd.WRONG_ANSWER
+        return AttemptOutcome(end, detail=detail, is_cut_off=is_cut_off)
     if not isinstance(error, ClientError | OSError):
         logger.opt(exception=error).error("upstream: an attempt failed unexpectedly.")
-    return AttemptOutcome(AttemptEnd.BROKEN, detail=detail)
+    return AttemptOutcome(AttemptEnd.BROKEN, detail=detail, is_cut_off=is_cut_off)
--- a/burdockmill/clients/peer_client.py
+++ b/burdockmill/clients/peer_client.py
@@ -46,6 +46,7 @@
     WorkCancel,
     WorkRequest,
 )
+from burdockmill.messages.suspects import SuspectNews, SuspectPoll
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -99,6 +100,8 @@
     TicketHandover: "ticket_handovers",
     TokenRequest: "token_requests",
     TokenGrant: "token_grants",
+    SuspectNews: "suspect_news",
+    SuspectPoll: "suspect_polls",
 }
 DELIVERY_CONFIRMED_TYPES = (Probe, RelayUpdates, TicketHandover)
 
--- a/burdockmill/errors.py
+++ b/burdockmill/errors.py
@@ -171,6 +171,14 @@
     remedy = "Retry after retry_after_ms."
 
 
+class CrashingRequestError(BurdockmillError):
+    """Refuse a request under which upstreams ended, again and again."""
+
+    kind = "crashing_request"
+    status = 503
+    remedy = "Change the request; upstreams ended each time that they ran it."
+
+
 class RateLimitedError(BurdockmillError):
     """Refuse a caller that exceeds the rate of its rule."""
 
--- a/burdockmill/fleet_core.py
+++ b/burdockmill/fleet_core.py
@@ -14,6 +14,7 @@
 from burdockmill.systems.member_system import MemberSystem
 from burdockmill.systems.probe_system import ProbeSystem
 from burdockmill.systems.refresh_system import RefreshSystem
+from burdockmill.systems.suspect_news_system import SuspectNewsSystem
 from burdockmill.systems.token_request_system import TokenRequestSystem
 from burdockmill.world import World
 
@@ -39,5 +40,6 @@
         AntiEntropySystem(),
         TokenRequestSystem(allocator),
         LimitAllocationSystem(allocator),
+        SuspectNewsSystem(),
     )
     return Engine(World(host, domain, rng), systems)
--- /dev/null
+++ b/burdockmill/forwarding/crash_guard.py
@@ -0,0 +1,199 @@
+"""Hold back requests that crash the upstreams that run them."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from burdockmill.forwarding.upstream_notices import Incarnation
+from burdockmill.messages.events import SuspectsChanged
+from burdockmill.placement import rendezvous
+from burdockmill.policies.crash_blame import Crash
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection, Iterable, Mapping
+
+    from burdockmill.forwarding.messages import Registration
+    from burdockmill.messages.events import Event
+    from burdockmill.names import HostId
+    from burdockmill.tables.crash_suspects import CrashSuspects, SuspectRow
+
+# An upstream that ended is back after some seconds; a reply before that disproves it.
+DISPROOF_MS = 1_000.0
+# A trial without an outcome for this long no longer prevents another one.
+TRIAL_LIMIT_MS = 5_000.0
+# A trial that is due happens at the host that a client reaches only by chance.
+MIN_RETURN_MS = 1_000.0
+# A request that gets no more trials is told to return after this time.
+NO_TRIAL_RETURN_MS = 3_600_000.0
+# A host tells others of so many newly suspected requests at once, and on average.
+SHARES_BURST = 16.0
+SHARES_PER_MS = 0.008
+# Ended upstreams beyond this number are discarded, oldest first.
+ENDED_LIMIT = 1_024
+
+
+class Standing(StrEnum):
+    """Enumerate how a request is treated for the crashes under it."""
+
+    TRUSTED = "trusted"
+    SUSPECTED = "suspected"
+    TRIAL = "trial"
+    HELD = "held"
+
+
+class CrashGuard:
+    """Record crashes and answers of requests, and decide which are sent."""
+
+    def __init__(
+        self,
+        suspects: CrashSuspects,
+        host: HostId,
+        live_hosts: Callable[[], Collection[HostId]],
+        post: Callable[[Event], None],
+    ) -> None:
+        self.counts: Counter[str] = Counter()
+        self.suspects = suspects
+        self._host = host
+        self._live_hosts = live_hosts
+        self._post = post
+        self._ended_ms_by_incarnation: dict[Incarnation, float] = {}
+        self._shares = SHARES_BURST
+        self._refilled_ms = 0.0
+
+    def standing(self, key: str, now_ms: float) -> Standing:
+        """Return how to treat a request now; a trial is given only once."""
+        row = self.suspects.row(key)
+        if row is None:
+            return Standing.TRUSTED
+        if not row.is_held:
+            return Standing.SUSPECTED
+        due_ms = max(row.next_trial_ms, row.trial_until_ms)
+        if now_ms < due_ms or self._trial_host(row) != self._host:
+            self.counts["refused"] += 1
+            return Standing.HELD
+        row.trial_until_ms = now_ms + TRIAL_LIMIT_MS
+        self.counts["trials"] += 1
+        return Standing.TRIAL
+
+    def is_held(self, key: str) -> bool:
+        """Return whether a request is held back; this starts no trial."""
+        row = self.suspects.row(key)
+        return row is not None and row.is_held
+
+    def crash_count(self, key: str) -> int:
+        """Return how many crashes are known under a request since its last answer."""
+        row = self.suspects.row(key)
+        return 0 if row is None else len(row.crash_by_incarnation)
+
+    def return_ms(self, key: str, now_ms: float) -> float:
+        """Return in how many milliseconds a request that is held back is tried."""
+        row = self.suspects.row(key)
+        due_ms = math.inf if row is None else row.next_trial_ms
+        if due_ms == math.inf:
+            return NO_TRIAL_RETURN_MS
+        return max(MIN_RETURN_MS, due_ms - now_ms)
+
+    def depth(self, key: str) -> int:
+        """Return how many crashes under a request followed one from the other."""
+        row = self.suspects.row(key)
+        return 0 if row is None else row.depth
+
+    def crashed(
+        self, key: str, upstream: Registration, known_depth: int, now_ms: float
+    ) -> None:
+        """Record that an upstream seems to have ended under a request.
+
+        `known_depth` is what `depth` returned when the attempt was sent.
+        """
+        incarnation = Incarnation.of(upstream)
+        self._ended_ms_by_incarnation[incarnation] = now_ms
+        if len(self._ended_ms_by_incarnation) > ENDED_LIMIT:
+            oldest = next(iter(self._ended_ms_by_incarnation))
+            del self._ended_ms_by_incarnation[oldest]
+        crash = Crash(self._host, known_depth + 1, now_ms)
+        row = self.suspects.record(key, incarnation, crash, now_ms)
+        if row is not None and (row.is_shared or row.is_held):
+            self._publish(row)
+
+    def trial_failed(self, key: str, now_ms: float) -> None:
+        """Record that a trial ended without an answer and without a crash."""
+        row = self.suspects.row(key)
+        if row is not None:
+            self.suspects.end_trial(row, now_ms)
+            self._publish(row)
+
+    def answered(self, keys: Iterable[str], now_ms: float) -> None:
+        """Clear a request that an upstream has answered."""
+        for key in keys:
+            row = self.suspects.clear(key, now_ms)
+            if row is not None and row.is_shared:
+                self._publish(row)
+
+    def replied(self, upstream: Registration, sent_ms: float, now_ms: float) -> None:
+        """Record a reply to an attempt, which shows that its upstream still runs."""
+        if not self._ended_ms_by_incarnation:
+            return
+        incarnation = Incarnation.of(upstream)
+        ended_ms = self._ended_ms_by_incarnation.get(incarnation)
+        if ended_ms is not None and sent_ms > ended_ms:
+            del self._ended_ms_by_incarnation[incarnation]
+            if now_ms - ended_ms < DISPROOF_MS:
+                self.disprove(incarnation, now_ms)
+
+    def disprove(self, incarnation: Incarnation, now_ms: float) -> None:
+        """Take back the crashes of an upstream that still runs."""
+        for row in self.suspects.disprove(incarnation, now_ms):
+            if row.is_shared:
+                self._publish(row)
+
+    def share(self, keys: Iterable[str], now_ms: float) -> None:
+        """Tell other hosts of the crashes under a request that got no answer.
+
+        When many requests lose their upstreams at once, some are told of only after
+        they have come again.
+        """
+        for key in keys:
+            row = self.suspects.row(key)
+            if row is None or row.is_shared:
+                continue
+            elapsed_ms = max(0.0, now_ms - self._refilled_ms)
+            self._refilled_ms = now_ms
+            refilled = self._shares + elapsed_ms * SHARES_PER_MS
+            self._shares = min(SHARES_BURST, refilled)
+            if self._shares < 1.0:
+                self.counts["shares_refused"] += 1
+                return
+            self._shares -= 1.0
+            self._publish(row)
+
+    def explain(self, key: str, now_ms: float) -> Mapping[str, object] | None:
+        """Return the crashes under a request for logs, None if there are none."""
+        row = self.suspects.row(key)
+        if row is None:
+            return None
+        return {
+            "held_back": row.is_held,
+            "trials": row.trials,
+            "crashes": [
+                [
+                    incarnation.upstream,
+                    one.host,
+                    one.depth,
+                    round(now_ms - one.ended_ms),
+                ]
+                for incarnation, one in row.crash_by_incarnation.items()
+            ],
+        }
+
+    def _publish(self, row: SuspectRow) -> None:
+        row.is_shared = True
+        self._post(SuspectsChanged((row.key,)))
+
+    def _trial_host(self, row: SuspectRow) -> HostId | None:
+        """Return the only host that may try the request: one that saw it crash."""
+        hosts = {crash.host for crash in row.crash_by_incarnation.values()}
+        live = hosts.intersection(self._live_hosts()) | (hosts & {self._host})
+        return rendezvous(live, row.key)
--- a/burdockmill/forwarding/data_path.py
+++ b/burdockmill/forwarding/data_path.py
@@ -6,6 +6,7 @@
 
 from burdockmill.clients.connection_warmer import ConnectionWarmer
 from burdockmill.clients.forwarding_client import ForwardingClient
+from burdockmill.forwarding.crash_guard import CrashGuard
 from burdockmill.forwarding.forwarder import Forwarder
 from burdockmill.forwarding.merge_policy import GreatestRecords
 from burdockmill.forwarding.observations import Observations
@@ -29,7 +30,7 @@
     from burdockmill.forwarding.settings import ForwardingSettings
     from burdockmill.messages.events import CatalogChanged, Event
     from burdockmill.metrics import Metrics
-    from burdockmill.names import ServiceId
+    from burdockmill.names import HostId, ServiceId
     from burdockmill.world import World
 
 # Connection limit of an upstream whose service has no bounds in the configuration.
@@ -58,6 +59,7 @@
         self.observations = Observations()
         self.notices = UpstreamNotices(settings.change_limit_ms * LAST_RESORT_FRACTION)
         self.gate = TokenGate(world.limits, post)
+        self.guard = CrashGuard(world.suspects, settings.host, self._live_hosts, post)
         self.budget = RepeatBudget(repeat_limits(settings), clock.now_ms())
         self._started_ms = clock.now_ms()
         self.client = ForwardingClient(codec, clock, self._host_limit, self._keeps_idle)
@@ -80,6 +82,7 @@
             self.observations,
             self.notices,
             self.gate,
+            self.guard,
         )
         log = RequestLog(world, self._planner, decisions, metrics, flush_soon)
         self.forwarder = Forwarder(
@@ -132,6 +135,9 @@
             self.budget.retain_only({one.name for one in catalog.tables.services})
             self.client.apply_limits(registered)
 
+    def _live_hosts(self) -> list[HostId]:
+        return [row.host for row in self._world.member_by_host.values() if row.alive]
+
     def _replicas_of(self, service: ServiceId) -> Iterable[Registration]:
         return self._world.catalog.upstreams_by_service.get(service, {}).values()
 
--- a/burdockmill/forwarding/failures.py
+++ b/burdockmill/forwarding/failures.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from math import ceil
 from typing import TYPE_CHECKING, NamedTuple
 
 from burdockmill.errors import (
     BurdockmillError,
+    CrashingRequestError,
     NoReplicaError,
     OverloadedError,
     Ran,
@@ -50,6 +52,14 @@
     )
 
 
+def held_back(return_ms: float) -> BurdockmillError:
+    """Return the refusal of a request that crashes the upstreams that run it."""
+    return CrashingRequestError(
+        "Each upstream that ran this request ended without an answer.",
+        retry_after_ms=ceil(return_ms),
+    )
+
+
 def lost_answer(
     part: PartRun, outlook: Outlook
 ) -> tuple[UpstreamAnswer | BurdockmillError, str]:
--- a/burdockmill/forwarding/forwarder.py
+++ b/burdockmill/forwarding/forwarder.py
@@ -12,10 +12,12 @@
 from burdockmill.forwarding.messages import (
     AttemptEnd,
     AttemptOutcome,
+    ConnectionState,
     MergedAnswer,
     UpstreamAnswer,
 )
 from burdockmill.forwarding.request_run import RequestRun
+from burdockmill.forwarding.upstream_notices import Incarnation
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -24,7 +26,7 @@
     from burdockmill.clock import Clock
     from burdockmill.forwarding.actions import RunAction
     from burdockmill.forwarding.merge_policy import MergePolicy
-    from burdockmill.forwarding.messages import ForwardedRequest
+    from burdockmill.forwarding.messages import ForwardedRequest, Registration
     from burdockmill.forwarding.planner import Planner
     from burdockmill.forwarding.request_log import RequestLog
     from burdockmill.forwarding.routes import Route
@@ -41,6 +43,11 @@
 WITHDRAWN_LIMIT_MS = 250.0
 # Retry time for clients of a host that has no configuration yet.
 RETRY_AFTER_START_MS = 100
+# The connections of an upstream that ends close within this time of each other.
+CLOSING_MS = 10.0
+REPLIES = frozenset(
+    {AttemptEnd.ANSWERED, AttemptEnd.UPSTREAM_ERROR, AttemptEnd.NOT_RUN}
+)
 
 
 class Forwarder:
@@ -207,9 +214,26 @@
                 forwarder.planner.record_latency(
                     self._run.route, action.upstream, took_ms
                 )
+        guard = forwarder.planner.guard
+        if end in REPLIES and outcome.sent_ms is not None:
+            guard.replied(action.upstream, outcome.sent_ms, now_ms)
         self._execute(self._run.ended(action.attempt, outcome, now_ms), now_ms)
+        if outcome.is_cut_off:
+            self._loop.call_later(
+                CLOSING_MS / MILLISECONDS_PER_SECOND, self._after_crash, action.upstream
+            )
         forwarder.log.ended(self._run, action, outcome, now_ms)
 
+    def _after_crash(self, upstream: Registration) -> None:
+        """Check if an upstream still runs; tell others if its request has no answer."""
+        forwarder = self._forwarder
+        if forwarder.client.connection_state(upstream) is ConnectionState.IDLE:
+            now_ms = forwarder.clock.now_ms()
+            incarnation = Incarnation.of(upstream)
+            forwarder.planner.guard.disprove(incarnation, now_ms)
+        if self._run.completed or self._run.suspicion.is_urgent:
+            self._share_crashes()
+
     def _withdraw(self, attempt: int) -> None:
         sending = self._sending_by_attempt.get(attempt)
         if sending is None:
@@ -226,9 +250,19 @@
         for attempt in list(self._sending_by_attempt):
             self._withdraw(attempt)
         self._forwarder.log.concluded(self._run, action, now_ms)
+        if self._run.suspicion.has_crashes:
+            self._loop.call_later(
+                CLOSING_MS / MILLISECONDS_PER_SECOND,
+                self._share_crashes,
+            )
         if not self._done.done():
             self._done.set_result(action.result)
 
+    def _share_crashes(self) -> None:
+        keys = self._run.suspicion.unanswered_keys
+        now_ms = self._forwarder.clock.now_ms()
+        self._forwarder.planner.guard.share(keys, now_ms)
+
     def _set_timer(self, now_ms: float) -> None:
         due_ms = self._run.next_due_ms
         if due_ms is None:
--- a/burdockmill/forwarding/messages.py
+++ b/burdockmill/forwarding/messages.py
@@ -91,10 +91,6 @@
 _NOT_RUN = _NEVER_WRITTEN | {AttemptEnd.NOT_RUN, AttemptEnd.WRONG_INSTANCE}
 
 
-# Ends of attempts whose connection ended, or went wrong, before an answer was complete.
-BROKEN_OFF = frozenset({AttemptEnd.BROKEN, AttemptEnd.WRONG_ANSWER})
-
-
 class UpstreamAnswer(NamedTuple):
     """Store an upstream's complete answer; `stamp` is its signature."""
 
@@ -108,6 +104,7 @@
     """Describe how an attempt ended; `detail` is for logs.
 
     `connecting_ms` is the time until the attempt had a connection, in milliseconds.
+    `is_cut_off` is whether the connection ended before an answer was complete.
     `is_leaving` is whether the upstream said that it is leaving. `pause_ms` is for how
     long it wants no requests of this host, None if it did not say. `limit_per_s` is the
     rate that it takes from all hosts together: infinite if its answer names none, None
@@ -119,6 +116,7 @@
     answer: UpstreamAnswer | None = None
     detail: str = ""
     connecting_ms: float = 0.0
+    is_cut_off: bool = False
     is_leaving: bool = False
     pause_ms: float | None = None
     limit_per_s: float | None = None
--- a/burdockmill/forwarding/planner.py
+++ b/burdockmill/forwarding/planner.py
@@ -11,12 +11,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
 
+    from burdockmill.forwarding.crash_guard import CrashGuard
     from burdockmill.forwarding.messages import Registration
     from burdockmill.forwarding.observations import Observations
     from burdockmill.forwarding.routes import Route
     from burdockmill.forwarding.token_gate import TokenGate
     from burdockmill.forwarding.upstream_notices import UpstreamNotices
-    from burdockmill.names import ServiceId, UpstreamId
+    from burdockmill.names import DomainId, ServiceId, UpstreamId
     from burdockmill.policies.repeat_budget import RepeatBudget
     from burdockmill.policies.replica_choice import Candidate, ReplicaChoice
 
@@ -47,11 +48,13 @@
         observations: Observations,
         notices: UpstreamNotices,
         gate: TokenGate,
+        guard: CrashGuard,
     ) -> None:
         self.budget = budget
         self.observations = observations
         self.notices = notices
         self.gate = gate
+        self.guard = guard
         self._replicas_of = replicas_of
         self._choice = choice
 
@@ -62,14 +65,20 @@
         is_idempotent: bool,
         now_ms: float,
         kind: AttemptKind = AttemptKind.FIRST,
+        avoided: Collection[DomainId] = (),
     ) -> Choice | None:
-        """Return the best upstream for an attempt, or None if there is none."""
+        """Return the best upstream for an attempt, or None if there is none.
+
+        Upstreams of the `avoided` failure domains are chosen only if no other is left.
+        """
         ranked = self._rank(service, excluded, is_idempotent, now_ms)
         if kind is AttemptKind.FIRST and self.gate.limits:
             self._want_tokens(ranked, now_ms)
         ranked = [one for one in ranked if self._may_use(one, kind, now_ms)]
         if not ranked:
             return None
+        if avoided:
+            ranked.sort(key=lambda one: one.registration.domain in avoided)
         best = ranked[0]
         alternative_ms = ranked[1].total_ms if len(ranked) > 1 else None
         return Choice(best.registration, best.total_ms, alternative_ms)
--- a/burdockmill/forwarding/request_log.py
+++ b/burdockmill/forwarding/request_log.py
@@ -5,15 +5,13 @@
 import math
 from typing import TYPE_CHECKING
 
-from burdockmill.errors import BurdockmillError
+from burdockmill.errors import BurdockmillError, CrashingRequestError
 from burdockmill.forwarding.messages import (
-    BROKEN_OFF,
     AttemptEnd,
     AttemptKind,
     MergedAnswer,
     RequestKind,
 )
-from burdockmill.forwarding.request_digest import digest_of
 from burdockmill.messages.actions import LogDecision
 
 if TYPE_CHECKING:
@@ -23,7 +21,6 @@
     from burdockmill.forwarding.actions import Conclude, SendAttempt
     from burdockmill.forwarding.messages import AttemptOutcome
     from burdockmill.forwarding.planner import Planner
-    from burdockmill.forwarding.request_digest import RequestDigest
     from burdockmill.forwarding.request_run import RequestRun
     from burdockmill.metrics import Metrics
     from burdockmill.world import World
@@ -89,7 +86,7 @@
             "service": run.parts[action.part].service,
             "kind": action.kind.value,
             "since_received_ms": _since_received_ms(run, now_ms),
-            "digest": _digest_if_broken_off(run, [outcome]),
+            "digest": run.suspicion.digest if outcome.is_cut_off else None,
         }
         choice = f"{outcome.end.value} at {action.upstream.upstream}"
         self._write(ATTEMPT, run, choice, outcome.detail, inputs, now_ms)
@@ -167,7 +164,7 @@
                 for part in run.parts
                 for attempt in _attempts(part.attempts, run)
             ],
-            "digest": _digest_if_broken_off(run, _outcomes_of(run)),
+            **self._suspicion_of(run, result, now_ms),
         }
         self._write(ANSWER, run, choice, action.note, inputs, now_ms)
 
@@ -180,6 +177,20 @@
         choice = "stopped all attempts"
         self._write(ANSWER, run, choice, "the client disconnected", inputs, now_ms)
 
+    def _suspicion_of(
+        self, run: RequestRun, result: object, now_ms: float
+    ) -> dict[str, object]:
+        """Return the digest of a request that crashed upstreams, and the crashes."""
+        if not run.suspicion.has_crashes and not isinstance(
+            result, CrashingRequestError
+        ):
+            return {}
+        digest = run.suspicion.digest
+        return {
+            "digest": digest,
+            "suspicion": self._planner.guard.explain(digest, now_ms),
+        }
+
     def _write(
         self,
         part: str,
@@ -199,20 +210,6 @@
     return RequestKind.FORWARD if run.route.shards is None else RequestKind.SEARCH
 
 
-def _outcomes_of(run: RequestRun) -> list[AttemptOutcome]:
-    rows = [row for part in run.parts for row in part.attempts]
-    return [row.outcome for row in rows if row.outcome is not None]
-
-
-def _digest_if_broken_off(
-    run: RequestRun, outcomes: list[AttemptOutcome]
-) -> RequestDigest | None:
-    """Return what to find a request by when it comes again, if an attempt broke off."""
-    if any(outcome.end in BROKEN_OFF for outcome in outcomes):
-        return digest_of(run.request)
-    return None
-
-
 def _outcome_of(run: RequestRun, result: object) -> tuple[str, str]:
     match result:
         case BurdockmillError():
--- a/burdockmill/forwarding/request_run.py
+++ b/burdockmill/forwarding/request_run.py
@@ -12,12 +12,14 @@
     WithdrawAttempt,
 )
 from burdockmill.forwarding.answer_decision import AnswerDecision
+from burdockmill.forwarding.failures import held_back
 from burdockmill.forwarding.hedge_queue import HedgeQueue
 from burdockmill.forwarding.messages import (
     AttemptEnd,
     AttemptKind,
 )
 from burdockmill.forwarding.part_run import AttemptRow, PartRun
+from burdockmill.forwarding.run_suspicion import RunSuspicion
 from burdockmill.policies.answer_timing import answer_times
 
 if TYPE_CHECKING:
@@ -54,6 +56,7 @@
         self.route = route
         self.parts = [PartRun(index, name) for index, name in enumerate(services)]
         self.completed = False
+        self.suspicion = RunSuspicion(request, len(services) > 1, planner.guard)
         self._planner = planner
         self._row_by_attempt: dict[int, tuple[PartRun, AttemptRow]] = {}
         self._hedges = HedgeQueue()
@@ -95,13 +98,20 @@
             self.completed = True
             error = DeadlineExceededError("No time was left when the request arrived.")
             return [Conclude(error, "no time left when the request arrived")]
+        if not self.suspicion.admit(now_ms):
+            self.completed = True
+            return_ms = self._planner.guard.return_ms(self.suspicion.digest, now_ms)
+            return [Conclude(held_back(return_ms), "it crashes upstreams")]
         choices = []
         for part in self.parts:
             self._planner.budget.deposit(part.service, now_ms)
-            choice = self._choose(part, AttemptKind.FIRST, now_ms)
+            choice, reason = None, "it crashes the shard's upstreams"
+            if self.suspicion.admit_part(part.service, now_ms):
+                choice = self._choose(part, AttemptKind.FIRST, now_ms)
+                reason = "no upstream accepts requests"
             choices.append(choice)
             if choice is None:
-                self._mark_lost(part, "no upstream accepts requests")
+                self._mark_lost(part, reason)
         # A request that cannot be served is refused before any part of it runs.
         if not self._answering.is_unservable(len(self._lost)):
             for part, choice in zip(self.parts, choices, strict=True):
@@ -119,7 +129,12 @@
         actions: list[RunAction] = []
         if row.is_paid and outcome.end.never_written:
             self._planner.budget.refund(part.service)
-        if self.completed or part.is_complete:
+        self._record_suspicion(part, row, outcome, now_ms)
+        if self.completed:
+            return actions
+        if part.is_complete:
+            self._resume(now_ms, actions)
+            self._complete_if_due(now_ms, actions)
             return actions
         if outcome.end is AttemptEnd.ANSWERED:
             part.answer = outcome.answer
@@ -127,6 +142,7 @@
             actions.extend(WithdrawAttempt(row.number) for row in part.in_flight)
         else:
             self._after_failure(part, now_ms, actions)
+        self._resume(now_ms, actions)
         self._complete_if_due(now_ms, actions)
         return actions
 
@@ -150,17 +166,23 @@
         now_ms: float,
         actions: list[RunAction],
     ) -> bool:
-        """Send an attempt to the chosen upstream; return whether it was sent."""
+        """Send an attempt to the chosen upstream, now or after the canary.
+
+        Return whether it is or will be sent.
+        """
         route = self.route
         if choice is None:
             return False
+        if self.suspicion.must_wait(part, kind):
+            return True
         if kind is AttemptKind.HEDGE and choice.expected_ms >= HEDGE_TARGET_LIMIT_MS:
             return False
         is_repeat = part.may_have_arrived
         if is_repeat and not self._planner.withdraw_repeat(part.service, kind, now_ms):
             return False
         self._add(part, choice.upstream, kind, now_ms, actions, is_paid=is_repeat)
-        if kind is AttemptKind.FIRST and route.is_idempotent:
+        is_trusted = not self.suspicion.is_cautious
+        if kind is AttemptKind.FIRST and route.is_idempotent and is_trusted:
             self._probe(part, choice.upstream, now_ms, actions)
         part.hedge_ms = None
         if self._may_run_again(part) and choice.alternative_ms is not None:
@@ -171,7 +193,12 @@
 
     def _choose(self, part: PartRun, kind: AttemptKind, now_ms: float) -> Choice | None:
         return self._planner.choose(
-            part.service, part.tried, self.route.is_idempotent, now_ms, kind
+            part.service,
+            part.tried,
+            self.route.is_idempotent,
+            now_ms,
+            kind,
+            self.suspicion.crashed_domains,
         )
 
     def _add(
@@ -191,6 +218,7 @@
             self.request.deadline_ms, self.request.received_ms + self.route.timeout_ms
         )
         actions.append(SendAttempt(number, part.index, upstream, kind, deadline_ms))
+        self.suspicion.sent(number, part.service)
 
     def _probe(
         self,
@@ -212,6 +240,9 @@
         part.hedge_ms = None
         if not self._may_run_again(part) or self._is_too_late(now_ms):
             return
+        if self.suspicion.is_cautious:
+            self._hedges.schedule(part, now_ms + HEDGE_RETRY_MS)
+            return
         choice = self._choose(part, AttemptKind.HEDGE, now_ms)
         if not self._send(part, AttemptKind.HEDGE, choice, now_ms, actions):
             self._hedges.schedule(part, now_ms + HEDGE_RETRY_MS)
@@ -220,6 +251,7 @@
         self, part: PartRun, now_ms: float, actions: list[RunAction]
     ) -> None:
         may_try = self._may_run_again(part) and not self._is_too_late(now_ms)
+        may_try = may_try and not self.suspicion.has_given_up
         if may_try:
             choice = self._choose(part, AttemptKind.RETRY, now_ms)
             if self._send(part, AttemptKind.RETRY, choice, now_ms, actions):
@@ -228,6 +260,29 @@
             end = part.last_end()
             self._mark_lost(part, "no attempt was sent" if end is None else end.value)
 
+    def _record_suspicion(
+        self, part: PartRun, row: AttemptRow, outcome: AttemptOutcome, now_ms: float
+    ) -> None:
+        if outcome.end in (AttemptEnd.ANSWERED, AttemptEnd.UPSTREAM_ERROR):
+            self.suspicion.answered(row.number, part.service, now_ms)
+        elif outcome.is_cut_off:
+            self.suspicion.crashed(row, part.service, now_ms)
+        else:
+            was_written = not outcome.end.certainly_not_run
+            self.suspicion.failed(row.number, was_written, now_ms)
+
+    def _resume(self, now_ms: float, actions: list[RunAction]) -> None:
+        """Send the attempts that need not wait any longer, or give them up."""
+        self.suspicion.follow_news()
+        while (waiting := self.suspicion.take_waiting()) is not None:
+            part, kind = waiting
+            if not self.suspicion.has_given_up and not self._is_too_late(now_ms):
+                choice = self._choose(part, kind, now_ms)
+                if self._send(part, kind, choice, now_ms, actions):
+                    continue
+            if not part.in_flight:
+                self._mark_lost(part, "an earlier attempt ended its upstream")
+
     def _mark_lost(self, part: PartRun, reason: str) -> None:
         part.lost = reason
         self._lost.append(part)
--- /dev/null
+++ b/burdockmill/forwarding/run_suspicion.py
@@ -0,0 +1,155 @@
+"""Decide which attempts of a request wait after others ended their upstreams."""
+
+from __future__ import annotations
+
+from functools import cached_property
+from typing import TYPE_CHECKING
+
+from burdockmill.forwarding.crash_guard import Standing
+from burdockmill.forwarding.request_digest import digest_of
+from burdockmill.policies.crash_blame import HELD_DEPTH
+
+if TYPE_CHECKING:
+    from burdockmill.forwarding.crash_guard import CrashGuard
+    from burdockmill.forwarding.messages import AttemptKind, ForwardedRequest
+    from burdockmill.forwarding.part_run import AttemptRow, PartRun
+    from burdockmill.forwarding.request_digest import RequestDigest
+    from burdockmill.names import DomainId, ServiceId
+
+
+class RunSuspicion:
+    """Track the crashes under one request, and send one attempt at a time after any.
+
+    After a crash without an answer the run is cautious: one attempt, the canary, is in
+    flight, and other first attempts and retries wait for its end. Any answer shows that
+    the request is innocent, and releases them.
+    """
+
+    def __init__(
+        self, request: ForwardedRequest, is_search: bool, guard: CrashGuard
+    ) -> None:
+        self.is_cautious = False
+        self.has_given_up = False
+        self.canary: int | None = None
+        self.waiting: list[tuple[PartRun, AttemptKind]] = []
+        self.crashed_domains: set[DomainId] = set()
+        self._request = request
+        self._is_search = is_search
+        self._guard = guard
+        self._is_trial = False
+        self._has_answer = False
+        self._unanswered_keys: set[str] = set()
+        self._known_depth: dict[tuple[int, str], int] = {}
+
+    @cached_property
+    def digest(self) -> RequestDigest:
+        """Return the digest of the request, computed at its first use."""
+        return digest_of(self._request)
+
+    @property
+    def has_crashes(self) -> bool:
+        """Return whether an upstream seems to have ended under this request."""
+        return bool(self._unanswered_keys)
+
+    @property
+    def is_urgent(self) -> bool:
+        """Return whether others should know before this run has ended."""
+        crashes = self._guard.crash_count(self.digest) if self.is_cautious else 0
+        return crashes >= HELD_DEPTH
+
+    @property
+    def unanswered_keys(self) -> tuple[str, ...]:
+        """Return the keys that crashed upstreams in this run, and got no answer."""
+        return tuple(sorted(self._unanswered_keys))
+
+    def admit(self, now_ms: float) -> bool:
+        """Return whether the request may be sent at all."""
+        if not self._guard.suspects:
+            return True
+        standing = self._guard.standing(self.digest, now_ms)
+        self._is_trial = standing is Standing.TRIAL
+        self.is_cautious = standing is not Standing.TRUSTED
+        return standing is not Standing.HELD
+
+    def admit_part(self, service: ServiceId, now_ms: float) -> bool:
+        """Return whether a shard's part may be sent."""
+        if not self._is_search or not self._guard.suspects:
+            return True
+        standing = self._guard.standing(self._part_key(service), now_ms)
+        return standing is not Standing.HELD
+
+    def must_wait(self, part: PartRun, kind: AttemptKind) -> bool:
+        """Return whether an attempt has to wait for the canary; it is queued then."""
+        if not self.is_cautious or self.canary is None:
+            return False
+        self.waiting.append((part, kind))
+        return True
+
+    def sent(self, attempt: int, service: ServiceId) -> None:
+        """Record an attempt; it is the canary if the run is cautious."""
+        if self.is_cautious:
+            self.canary = attempt
+        if self._guard.suspects:
+            for key in self._keys(service):
+                self._known_depth[attempt, key] = self._guard.depth(key)
+
+    def take_waiting(self) -> tuple[PartRun, AttemptKind] | None:
+        """Remove and return an attempt that may be sent now, None if there is none."""
+        if self.is_cautious and self.canary is not None:
+            return None
+        while self.waiting:
+            part, kind = self.waiting.pop(0)
+            if not part.is_complete:
+                return part, kind
+        return None
+
+    def answered(self, attempt: int, service: ServiceId, now_ms: float) -> None:
+        """Record an answer: the request does not crash what runs it."""
+        self._end_canary(attempt)
+        self._has_answer = True
+        self.is_cautious = self._is_trial = False
+        if self._guard.suspects:
+            keys = self._keys(service)
+            self._guard.answered(keys, now_ms)
+            self._unanswered_keys -= set(keys)
+
+    def crashed(self, row: AttemptRow, service: ServiceId, now_ms: float) -> None:
+        """Record that an upstream ended while it ran an attempt."""
+        was_canary = self._end_canary(row.number)
+        keys = self._keys(service)
+        if self._has_answer:
+            keys.remove(self.digest)
+        else:
+            self.is_cautious = True
+        self.crashed_domains.add(row.upstream.domain)
+        for key in keys:
+            self._unanswered_keys.add(key)
+            depth = self._known_depth.get((row.number, key), 0)
+            self._guard.crashed(key, row.upstream, depth, now_ms)
+        if was_canary and self._guard.crash_count(self.digest) >= HELD_DEPTH:
+            self.has_given_up = True
+
+    def failed(self, attempt: int, was_written: bool, now_ms: float) -> None:
+        """Record an attempt that ended without an answer, and without a crash."""
+        if self._end_canary(attempt) and self._is_trial and was_written:
+            self._is_trial = False
+            self.has_given_up = True
+            self._guard.trial_failed(self.digest, now_ms)
+
+    def follow_news(self) -> None:
+        """Give up if other hosts have found meanwhile that the request crashes."""
+        if self.is_cautious and not self._is_trial:
+            self.has_given_up |= self._guard.is_held(self.digest)
+
+    def _end_canary(self, attempt: int) -> bool:
+        was_canary = self.canary == attempt
+        if was_canary:
+            self.canary = None
+        return was_canary
+
+    def _keys(self, service: ServiceId) -> list[str]:
+        """Return the keys of the request, and of a shard's part of it."""
+        return [self.digest, *([self._part_key(service)] if self._is_search else [])]
+
+    def _part_key(self, service: ServiceId) -> str:
+        return f"{self.digest}/{service}"
--- a/burdockmill/messages/events.py
+++ b/burdockmill/messages/events.py
@@ -63,6 +63,12 @@
     started_ms: int
 
 
+class SuspectsChanged(NamedTuple):
+    """Report that this host learned of crashes, or of an answer, that others need."""
+
+    keys: tuple[str, ...]
+
+
 class CallerDisconnected(NamedTuple):
     """Report that a caller disconnected before its answer."""
 
@@ -294,4 +300,5 @@
     | LimitNamed
     | TokensWanted
     | TokensChanged
+    | SuspectsChanged
 )
--- a/burdockmill/messages/peer.py
+++ b/burdockmill/messages/peer.py
@@ -24,6 +24,7 @@
     SyncRows,
 )
 from burdockmill.messages.limits import TokenGrant, TokenRequest
+from burdockmill.messages.suspects import SuspectNews, SuspectPoll
 from burdockmill.names import (
     AttemptId,
     CallerId,
@@ -295,6 +296,8 @@
     ticket_handovers: list[TicketHandover]
     token_requests: list[TokenRequest]
     token_grants: list[TokenGrant]
+    suspect_news: list[SuspectNews]
+    suspect_polls: list[SuspectPoll]
 
 
 PeerMessage = (
@@ -313,4 +316,6 @@
     | TicketHandover
     | TokenRequest
     | TokenGrant
+    | SuspectNews
+    | SuspectPoll
 )
--- /dev/null
+++ b/burdockmill/messages/suspects.py
@@ -0,0 +1,55 @@
+"""Define the messages by which hosts tell each other which requests crash upstreams."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from burdockmill.names import HostId, UpstreamId
+
+
+class CrashReport(NamedTuple):
+    """Tell that one incarnation of an upstream ended under an attempt of `host`.
+
+    `depth` counts the crashes of which each was known when the next attempt was sent,
+    up to this one. The age in milliseconds is given, as clocks of hosts differ.
+    """
+
+    upstream: UpstreamId
+    started_ms: int
+    host: HostId
+    depth: int
+    ended_age_ms: float
+
+
+class SuspectReport(NamedTuple):
+    """State what the sender knows of a request under which upstreams ended.
+
+    `key` is its digest, followed by a shard's service if only that is meant. Each
+    answer to the request starts another `round` without crashes; the highest round is
+    valid. `age_ms` is the time since the last change.
+    """
+
+    key: str
+    round: int
+    is_held: bool
+    trials: int
+    age_ms: float
+    crashes: tuple[CrashReport, ...]
+
+
+class SuspectNews(NamedTuple):
+    """Carry reports; `checksum` is of all that the sender knows.
+
+    With `is_reply` the sender was asked for them, and the receiver returns what the
+    sender lacks.
+    """
+
+    reports: tuple[SuspectReport, ...]
+    checksum: int
+    is_reply: bool = False
+
+
+class SuspectPoll(NamedTuple):
+    """Ask a host for its reports if it knows other ones than the sender."""
+
+    checksum: int
--- /dev/null
+++ b/burdockmill/policies/crash_blame.py
@@ -0,0 +1,57 @@
+"""Decide from the crashes under a request whether the request causes them.
+
+Load pattern: a request ends each upstream that runs it, and comes again at any host.
+All requests in flight at an upstream that ends look alike: when a failure domain loses
+power, a search sees ten upstreams end at once, and a popular one was in flight at each.
+Crashes with one cause end attempts that were sent in ignorance of each other. When an
+attempt is sent because of a crash, and its upstream ends too, and so on without any
+answer, the request itself is the cause.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from burdockmill.names import HostId
+
+# A request is held back after this many crashes, each known when the next attempt was
+# sent, without an answer.
+HELD_DEPTH = 3
+# Delays after the last crash at which one attempt may try whether a request that is
+# held back still crashes upstreams: soon, in case that it is innocent, and once later,
+# in case that the upstreams were repaired.
+TRIAL_DELAYS_MS = (2_000.0, 600_000.0)
+# A request that is held back is forgotten this long after its last crash.
+HELD_MS = 6 * 3_600_000.0
+# Fewer crashes are forgotten after this time, and that a request was cleared after the
+# longest time that news of its crashes may take.
+SUSPECTED_MS = 600_000.0
+CLEARED_MS = 60_000.0
+
+
+class Crash(NamedTuple):
+    """Describe the end of an upstream under an attempt that `host` sent.
+
+    `depth` counts the crashes of which each was known when the next attempt was sent,
+    up to this one. `ended_ms` is on the clock of the host that stores it.
+    """
+
+    host: HostId
+    depth: int
+    ended_ms: float
+
+
+def greatest_depth(crashes: Iterable[Crash]) -> int:
+    """Return the depth of a request's crashes, 0 without any."""
+    return max((crash.depth for crash in crashes), default=0)
+
+
+def next_trial_ms(trials: int, changed_ms: float) -> float:
+    """Return when the next trial is due, infinite after the last one."""
+    if trials >= len(TRIAL_DELAYS_MS):
+        return math.inf
+    return changed_ms + TRIAL_DELAYS_MS[trials]
--- /dev/null
+++ b/burdockmill/systems/suspect_news_system.py
@@ -0,0 +1,182 @@
+"""Tell all hosts which requests crash upstreams.
+
+News goes to random hosts, and each host that learns something from it passes it on.
+What is lost, and what a host missed while it was away, is found by comparing checksums.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from burdockmill.messages.actions import LogDecision, SendToPeer
+from burdockmill.messages.events import HostStarted, PeerReceived, SuspectsChanged
+from burdockmill.messages.suspects import SuspectNews, SuspectPoll
+from burdockmill.systems.system import System
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from burdockmill.messages.actions import Action
+    from burdockmill.names import HostId
+    from burdockmill.world import World
+
+SUSPECT = "suspect"
+POLL, FLUSH = "poll", "flush"
+# Each host passes news on to so many others; larger fleets need few more hops.
+FANOUT = 8
+REPORTS_PER_MESSAGE = 32
+# News within this time of the last is sent together.
+BATCH_WINDOW_MS = 20.0
+# Interval at which a host compares what it knows with a random other one, while any
+# request is held back, while some are suspected, and while it has just started.
+HELD_POLL_MS = 1_000.0
+SUSPECTED_POLL_MS = 5_000.0
+START_POLL_MS = 250.0
+
+
+class SuspectNewsSystem(System):
+    """Spread what is known of requests that crash upstreams."""
+
+    name = "suspect_news"
+    handles = (SuspectsChanged, SuspectNews, SuspectPoll, HostStarted)
+
+    def __init__(self) -> None:
+        # The keys to pass on, as an ordered set, and when the last news was sent.
+        self._pending_by_key: dict[str, None] = {}
+        self._sent_ms = -BATCH_WINDOW_MS
+
+    def run(self, world: World, now_ms: float) -> list[Action]:
+        """Pass news on, and compare what is known with other hosts."""
+        actions: list[Action] = []
+        for event in world.drain_events(self.name):
+            match event:
+                case HostStarted():
+                    self._schedule_poll(world, now_ms)
+                case SuspectsChanged(keys=keys):
+                    self._pass_on(keys)
+                case PeerReceived(message=SuspectNews() as news):
+                    self._receive(world, event.sender, news, now_ms, actions)
+                case PeerReceived(message=SuspectPoll() as poll):
+                    self._reply(world, event.sender, poll, now_ms, actions)
+            self._schedule_poll(world, now_ms)
+        if POLL in world.due(self.name).pop_due(now_ms):
+            world.suspects.expire(now_ms)
+            for host in self._targets(world, 1):
+                poll = SuspectPoll(world.suspects.checksum())
+                actions.append(SendToPeer(host, poll))
+            self._schedule_poll(world, now_ms)
+        self._flush(world, now_ms, actions)
+        return actions
+
+    def _pass_on(self, keys: Sequence[str]) -> None:
+        self._pending_by_key.update(dict.fromkeys(keys))
+
+    def _flush(self, world: World, now_ms: float, actions: list[Action]) -> None:
+        """Send pending news at once, or together with more after the last batch."""
+        if not self._pending_by_key:
+            return
+        due_ms = self._sent_ms + BATCH_WINDOW_MS
+        if now_ms < due_ms:
+            world.due(self.name).schedule(FLUSH, due_ms)
+            return
+        self._sent_ms = now_ms
+        keys, self._pending_by_key = list(self._pending_by_key), {}
+        hosts = self._targets(world, FANOUT)
+        self._send_news(world, hosts, keys, now_ms, actions)
+
+    def _receive(
+        self,
+        world: World,
+        sender: HostId,
+        news: SuspectNews,
+        now_ms: float,
+        actions: list[Action],
+    ) -> None:
+        suspects = world.suspects
+        changed: list[str] = []
+        stale: list[str] = []
+        for report in news.reports:
+            before = suspects.row(report.key)
+            was_held = before is not None and before.is_held
+            merged = suspects.merge(report, now_ms)
+            if merged.is_stale:
+                stale.append(report.key)
+            if merged.is_changed:
+                changed.append(report.key)
+            row = suspects.row(report.key)
+            if row is not None and row.is_held and not was_held:
+                actions.append(_held_back(report.key, sender, row.report(now_ms)))
+        if news.is_reply:
+            if suspects.checksum() != news.checksum:
+                self._send_news(world, [sender], _shared(world), now_ms, actions)
+            return
+        if stale:
+            self._send_news(world, [sender], stale, now_ms, actions)
+        if len(world.member_by_host) > FANOUT + 1:
+            self._pass_on(changed)
+
+    def _reply(
+        self,
+        world: World,
+        sender: HostId,
+        poll: SuspectPoll,
+        now_ms: float,
+        actions: list[Action],
+    ) -> None:
+        if poll.checksum != world.suspects.checksum():
+            keys = _shared(world)
+            self._send_news(world, [sender], keys, now_ms, actions, is_reply=True)
+
+    def _send_news(
+        self,
+        world: World,
+        hosts: Sequence[HostId],
+        keys: Sequence[str],
+        now_ms: float,
+        actions: list[Action],
+        is_reply: bool = False,
+    ) -> None:
+        reports = world.suspects.reports(keys, now_ms)
+        checksum = world.suspects.checksum()
+        world.suspects.counts["reports_sent"] += len(reports) * len(hosts)
+        first = reports[:REPORTS_PER_MESSAGE]
+        rest = [
+            reports[index : index + REPORTS_PER_MESSAGE]
+            for index in range(REPORTS_PER_MESSAGE, len(reports), REPORTS_PER_MESSAGE)
+        ]
+        for host in hosts:
+            for batch in rest:
+                actions.append(SendToPeer(host, SuspectNews(batch, checksum)))
+            # The reply comes last, so that its checksum is compared after all reports.
+            actions.append(SendToPeer(host, SuspectNews(first, checksum, is_reply)))
+
+    def _targets(self, world: World, count: int) -> list[HostId]:
+        """Return random other hosts that are alive."""
+        members = world.member_by_host.values()
+        hosts = [row.host for row in members if row.alive and row.host != world.host]
+        return hosts if len(hosts) <= count else world.rng.sample(hosts, count)
+
+    def _schedule_poll(self, world: World, now_ms: float) -> None:
+        due = world.due(self.name)
+        if world.is_starting(now_ms):
+            wait_ms = START_POLL_MS
+        elif world.suspects.holds_any:
+            wait_ms = HELD_POLL_MS
+        elif world.suspects:
+            wait_ms = SUSPECTED_POLL_MS
+        else:
+            due.cancel(POLL)
+            return
+        if POLL not in due:
+            due.schedule(POLL, now_ms + world.rng.uniform(0.5, 1.0) * wait_ms)
+
+
+def _shared(world: World) -> list[str]:
+    """Return the keys of all rows that other hosts were told of, held ones first."""
+    rows = sorted(world.suspects, key=lambda row: (not row.is_held, row.key))
+    return [row.key for row in rows if row.is_shared]
+
+
+def _held_back(key: str, sender: HostId, report: object) -> LogDecision:
+    choice = f"holds back {key}"
+    return LogDecision(SUSPECT, "", choice, f"news of {sender}", inputs={"row": report})
--- a/burdockmill/world.py
+++ b/burdockmill/world.py
@@ -9,6 +9,7 @@
 from burdockmill.policies.refusal_memory import RefusalMemory
 from burdockmill.policies.retry_budget import RetryBudget
 from burdockmill.tables.catalog import Catalog
+from burdockmill.tables.crash_suspects import CrashSuspects
 from burdockmill.tables.fleet import FleetTables
 from burdockmill.tables.timer_queue import TimerQueue
 from burdockmill.tables.upstream_limits import UpstreamLimits
@@ -46,6 +47,7 @@
         self.fleet = FleetTables()
         self.catalog = Catalog()
         self.limits = UpstreamLimits()
+        self.suspects = CrashSuspects()
         self.upstream_views = UpstreamViews()
         self.counter_by_name: Counter[str] = Counter()
         self.rate_limiter = RateLimiter()
--- a/tests/builders_forwarding.py
+++ b/tests/builders_forwarding.py
@@ -5,6 +5,7 @@
 import random
 
 from burdockmill.forwarding.actions import Conclude, SendAttempt
+from burdockmill.forwarding.crash_guard import CrashGuard
 from burdockmill.forwarding.merge_policy import GreatestRecords
 from burdockmill.forwarding.messages import (
     AttemptEnd,
@@ -30,6 +31,7 @@
 from burdockmill.messages.catalog import CatalogDelta, CatalogRequest, Registered
 from burdockmill.policies.repeat_budget import RepeatBudget, RepeatLimits
 from burdockmill.policies.replica_choice import ExpectedLatencyChoice
+from burdockmill.tables.crash_suspects import CrashSuspects
 from burdockmill.tables.upstream_limits import UpstreamLimits
 
 DOMAINS = ("waw-a", "krk-a", "gda-a")
@@ -140,6 +142,7 @@
     started_ms=0.0,
     notices=None,
     gate=None,
+    guard=None,
 ):
     observations = Observations()
     notices = notices or UpstreamNotices(1_200.0)
@@ -156,7 +159,8 @@
     )
     budget = RepeatBudget(limits, started_ms)
     budget.share_among(1, 0.0)
-    return Planner(replicas, choice, budget, observations, notices, gate)
+    guard = guard or CrashGuard(CrashSuspects(), host, lambda: [host], post_nothing)
+    return Planner(replicas, choice, budget, observations, notices, gate, guard)
 
 
 def services_of(route):
--- a/tests/test_crashing_requests_processes.py
+++ b/tests/test_crashing_requests_processes.py
@@ -108,7 +108,6 @@
         yield started
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize("prefix", ["/fetch/", "/overlap/"])
 async def test_a_request_that_crashes_upstreams_is_not_passed_on_for_ever(site, prefix):
     """It comes again at each host in turn, and its client asks twice each time."""
