--- a/burdockmill/forwarding/crash_guard.py
+++ b/burdockmill/forwarding/crash_guard.py
@@ -119,7 +119,7 @@
             self._publish(row)
 
     def trial_failed(self, key: str, now_ms: float) -> None:
-        """Record that a trial ended without an answer and without a crash."""
+        """Record that a trial ended without an answer."""
         row = self.suspects.row(key)
         if row is not None:
             self.suspects.end_trial(row, now_ms)
--- a/burdockmill/forwarding/run_suspicion.py
+++ b/burdockmill/forwarding/run_suspicion.py
@@ -126,15 +126,15 @@
             self._unanswered_keys.add(key)
             depth = self._known_depth.get((row.number, key), 0)
             self._guard.crashed(key, row.upstream, depth, now_ms)
-        if was_canary and self._guard.crash_count(self.digest) >= HELD_DEPTH:
+        if was_canary and self._is_trial:
+            self._end_trial(now_ms)
+        elif was_canary and self._guard.crash_count(self.digest) >= HELD_DEPTH:
             self.has_given_up = True
 
     def failed(self, attempt: int, was_written: bool, now_ms: float) -> None:
         """Record an attempt that ended without an answer, and without a crash."""
         if self._end_canary(attempt) and self._is_trial and was_written:
-            self._is_trial = False
-            self.has_given_up = True
-            self._guard.trial_failed(self.digest, now_ms)
+            self._end_trial(now_ms)
 
     def follow_news(self) -> None:
         """Give up if other hosts have found meanwhile that the request crashes."""
@@ -147,6 +147,11 @@
             self.canary = None
         return was_canary
 
+    def _end_trial(self, now_ms: float) -> None:
+        self._is_trial = False
+        self.has_given_up = True
+        self._guard.trial_failed(self.digest, now_ms)
+
     def _keys(self, service: ServiceId) -> list[str]:
         """Return the keys of the request, and of a shard's part of it."""
         return [self.digest, *([self._part_key(service)] if self._is_search else [])]
--- a/burdockmill/tables/crash_suspects.py
+++ b/burdockmill/tables/crash_suspects.py
@@ -159,23 +159,18 @@
     def record(
         self, key: str, incarnation: Incarnation, crash: Crash, now_ms: float
     ) -> SuspectRow | None:
-        """Record a crash seen by this host; return its row, None if there is no room.
-
-        A crash under a request that is held back is that of a trial.
-        """
+        """Record a crash that this host saw; return its row, None without room."""
         row = self._row_by_key.get(key) or self._add(key, now_ms)
         if row is None:
             return None
         was_held = row.is_held
         if row.add(incarnation, crash):
             self.counts["crashes_recorded"] += 1
-        if was_held:
-            self.end_trial(row, now_ms)
         self._count_held(row, was_held)
         return row
 
     def end_trial(self, row: SuspectRow, now_ms: float) -> None:
-        """Record that a trial of a request got no answer."""
+        """Record that a trial of a request ended without an answer."""
         row.trials += 1
         row.trial_until_ms = now_ms
         row.changed_ms = now_ms
