Log which requests are held back, by whose news, and when no longer

On call one could find a refused request, but not since when it is held back and which host told. Each host now writes one suspect: line when that changes, with the crashes, the hosts that saw them and their depth.

--- a/burdockmill/forwarding/request_run.py
+++ b/burdockmill/forwarding/request_run.py
@@ -129,7 +129,7 @@
         actions: list[RunAction] = []
         if row.is_paid and outcome.end.never_written:
             self._planner.budget.refund(part.service)
-        self._record_suspicion(part, row, outcome, now_ms)
+        self.suspicion.ended(row, part.service, outcome, now_ms)
         if self.completed:
             return actions
         if part.is_complete:
@@ -260,17 +260,6 @@
             end = part.last_end()
             self._mark_lost(part, "no attempt was sent" if end is None else end.value)
 
-    def _record_suspicion(
-        self, part: PartRun, row: AttemptRow, outcome: AttemptOutcome, now_ms: float
-    ) -> None:
-        if outcome.end in (AttemptEnd.ANSWERED, AttemptEnd.UPSTREAM_ERROR):
-            self.suspicion.answered(row.number, part.service, now_ms)
-        elif outcome.is_cut_off:
-            self.suspicion.crashed(row, part.service, now_ms)
-        else:
-            was_written = not outcome.end.certainly_not_run
-            self.suspicion.failed(row.number, was_written, now_ms)
-
     def _resume(self, now_ms: float, actions: list[RunAction]) -> None:
         """Send the attempts that need not wait any longer, or give them up."""
         self.suspicion.follow_news()
--- a/burdockmill/forwarding/run_suspicion.py
+++ b/burdockmill/forwarding/run_suspicion.py
@@ -6,16 +6,24 @@
 from typing import TYPE_CHECKING
 
 from burdockmill.forwarding.crash_guard import Standing
+from burdockmill.forwarding.messages import AttemptEnd
 from burdockmill.forwarding.request_digest import digest_of
 from burdockmill.policies.crash_blame import HELD_DEPTH
 
 if TYPE_CHECKING:
     from burdockmill.forwarding.crash_guard import CrashGuard
-    from burdockmill.forwarding.messages import AttemptKind, ForwardedRequest
+    from burdockmill.forwarding.messages import (
+        AttemptKind,
+        AttemptOutcome,
+        ForwardedRequest,
+    )
     from burdockmill.forwarding.part_run import AttemptRow, PartRun
     from burdockmill.forwarding.request_digest import RequestDigest
     from burdockmill.names import DomainId, ServiceId
 
+# Ends that show that an upstream ran the request and went on.
+ANSWERS = frozenset({AttemptEnd.ANSWERED, AttemptEnd.UPSTREAM_ERROR})
+
 
 class RunSuspicion:
     """Track the crashes under one request, and send one attempt at a time after any.
@@ -91,7 +99,8 @@
             self.canary = attempt
         if self._guard.suspects:
             for key in self._keys(service):
-                self._known_depth[attempt, key] = self._guard.depth(key)
+                if depth := self._guard.depth(key):
+                    self._known_depth[attempt, key] = depth
 
     def take_waiting(self) -> tuple[PartRun, AttemptKind] | None:
         """Remove and return an attempt that may be sent now, None if there is none."""
@@ -103,9 +112,31 @@
                 return part, kind
         return None
 
-    def answered(self, attempt: int, service: ServiceId, now_ms: float) -> None:
+    def ended(
+        self,
+        row: AttemptRow,
+        service: ServiceId,
+        outcome: AttemptOutcome,
+        now_ms: float,
+    ) -> None:
+        """Record how an attempt ended."""
+        was_canary = self.canary == row.number
+        if was_canary:
+            self.canary = None
+        if outcome.end in ANSWERS:
+            self._answered(service, now_ms)
+        elif outcome.is_cut_off:
+            self._crashed(row, service, was_canary, now_ms)
+        elif was_canary and self._is_trial and not outcome.end.certainly_not_run:
+            self._end_trial(now_ms)
+
+    def follow_news(self) -> None:
+        """Give up if other hosts have found meanwhile that the request crashes."""
+        if self.is_cautious and not self._is_trial:
+            self.has_given_up |= self._guard.is_held(self.digest)
+
+    def _answered(self, service: ServiceId, now_ms: float) -> None:
         """Record an answer: the request does not crash what runs it."""
-        self._end_canary(attempt)
         self._has_answer = True
         self.is_cautious = self._is_trial = False
         if self._guard.suspects:
@@ -113,9 +144,10 @@
             self._guard.answered(keys, now_ms)
             self._unanswered_keys -= set(keys)
 
-    def crashed(self, row: AttemptRow, service: ServiceId, now_ms: float) -> None:
+    def _crashed(
+        self, row: AttemptRow, service: ServiceId, was_canary: bool, now_ms: float
+    ) -> None:
         """Record that an upstream ended while it ran an attempt."""
-        was_canary = self._end_canary(row.number)
         keys = self._keys(service)
         if self._has_answer:
             keys.remove(self.digest)
@@ -131,22 +163,6 @@
         elif was_canary and self._guard.crash_count(self.digest) >= HELD_DEPTH:
             self.has_given_up = True
 
-    def failed(self, attempt: int, was_written: bool, now_ms: float) -> None:
-        """Record an attempt that ended without an answer, and without a crash."""
-        if self._end_canary(attempt) and self._is_trial and was_written:
-            self._end_trial(now_ms)
-
-    def follow_news(self) -> None:
-        """Give up if other hosts have found meanwhile that the request crashes."""
-        if self.is_cautious and not self._is_trial:
-            self.has_given_up |= self._guard.is_held(self.digest)
-
-    def _end_canary(self, attempt: int) -> bool:
-        was_canary = self.canary == attempt
-        if was_canary:
-            self.canary = None
-        return was_canary
-
     def _end_trial(self, now_ms: float) -> None:
         self._is_trial = False
         self.has_given_up = True
--- a/burdockmill/systems/suspect_news_system.py
+++ b/burdockmill/systems/suspect_news_system.py
@@ -54,6 +54,7 @@
                     self._schedule_poll(world, now_ms)
                 case SuspectsChanged(keys=keys):
                     self._pass_on(keys)
+                    _log_changes(world, keys, "seen by this host", now_ms, actions)
                 case PeerReceived(message=SuspectNews() as news):
                     self._receive(world, event.sender, news, now_ms, actions)
                 case PeerReceived(message=SuspectPoll() as poll):
@@ -96,16 +97,12 @@
         changed: list[str] = []
         stale: list[str] = []
         for report in news.reports:
-            before = suspects.row(report.key)
-            was_held = before is not None and before.is_held
             merged = suspects.merge(report, now_ms)
             if merged.is_stale:
                 stale.append(report.key)
             if merged.is_changed:
                 changed.append(report.key)
-            row = suspects.row(report.key)
-            if row is not None and row.is_held and not was_held:
-                actions.append(_held_back(report.key, sender, row.report(now_ms)))
+        _log_changes(world, changed, f"news of {sender}", now_ms, actions)
         if news.is_reply:
             if suspects.checksum() != news.checksum:
                 self._send_news(world, [sender], _shared(world), now_ms, actions)
@@ -177,6 +174,23 @@
     return [row.key for row in rows if row.is_shared]
 
 
-def _held_back(key: str, sender: HostId, report: object) -> LogDecision:
-    choice = f"holds back {key}"
-    return LogDecision(SUSPECT, "", choice, f"news of {sender}", inputs={"row": report})
+def _log_changes(
+    world: World,
+    keys: Sequence[str],
+    source: str,
+    now_ms: float,
+    actions: list[Action],
+) -> None:
+    """Log which requests are held back from now on, and which no longer."""
+    for key in keys:
+        row = world.suspects.stored_row(key)
+        if row is None or row.is_held == row.is_logged:
+            continue
+        row.is_logged = row.is_held
+        choice = f"holds back {key}" if row.is_held else f"no longer holds back {key}"
+        crashes = [
+            [one.upstream, one.host, one.depth, round(one.ended_age_ms)]
+            for one in row.report(now_ms).crashes
+        ]
+        inputs = {"round": row.round, "trials": row.trials, "crashes": crashes}
+        actions.append(LogDecision(SUSPECT, "", choice, source, inputs=inputs))
--- a/burdockmill/tables/crash_suspects.py
+++ b/burdockmill/tables/crash_suspects.py
@@ -42,14 +42,15 @@
     """Store the crashes under one request since its last answer.
 
     `changed_ms` is when the last crash was recorded, or the row was cleared.
-    `is_shared` is set once other hosts were told. Until `trial_until_ms` a trial is in
-    flight.
+    `is_shared` is set once other hosts were told, `is_logged` while the log states that
+    it is held back. Until `trial_until_ms` a trial is in flight.
     """
 
     __slots__ = (
         "changed_ms",
         "crash_by_incarnation",
         "is_held",
+        "is_logged",
         "is_shared",
         "key",
         "round",
@@ -61,6 +62,7 @@
         self.key = key
         self.round = 0
         self.is_held = False
+        self.is_logged = False
         self.is_shared = False
         self.trials = 0
         self.changed_ms = now_ms
@@ -234,6 +236,10 @@
             return Merged(False)
         return Merged(is_changed)
 
+    def stored_row(self, key: str) -> SuspectRow | None:
+        """Return the row of a request, also of one that was cleared, or None."""
+        return self._row_by_key.get(key)
+
     def reports(self, keys: Iterable[str], now_ms: float) -> tuple[SuspectReport, ...]:
         """Return the reports of some keys."""
         rows = (self._row_by_key.get(key) for key in keys)
