--- a/burdockmill/systems/suspect_news_system.py
+++ b/burdockmill/systems/suspect_news_system.py
@@ -20,7 +20,6 @@
     from burdockmill.names import HostId
     from burdockmill.world import World
 
-SUSPECT = "suspect"
 POLL, FLUSH = "poll", "flush"
 # Each host passes news on to so many others; larger fleets need few more hops.
 FANOUT = 8
@@ -193,4 +192,4 @@
             for one in row.report(now_ms).crashes
         ]
         inputs = {"round": row.round, "trials": row.trials, "crashes": crashes}
-        actions.append(LogDecision(SUSPECT, "", choice, source, inputs=inputs))
+        actions.append(LogDecision("suspect", "", choice, source, inputs=inputs))
