Avoid domains with crashes for the canary only, and tell of crashes when a client left

After any answer a retry went to another failure domain than the upstream that had ended, even where its own had a replica left. A client that left between a crash and its answer hid the crash from other hosts.

--- a/burdockmill/forwarding/forwarder.py
+++ b/burdockmill/forwarding/forwarder.py
@@ -145,6 +145,7 @@
         self._stop_timer()
         for sending in list(self._sending_by_attempt.values()):
             sending.cancel()
+        self._share_crashes()
 
     def _execute(self, actions: Iterable[RunAction], now_ms: float) -> None:
         for action in actions:
@@ -251,10 +252,8 @@
             self._withdraw(attempt)
         self._forwarder.log.concluded(self._run, action, now_ms)
         if self._run.suspicion.has_crashes:
-            self._loop.call_later(
-                CLOSING_MS / MILLISECONDS_PER_SECOND,
-                self._share_crashes,
-            )
+            wait_s = CLOSING_MS / MILLISECONDS_PER_SECOND
+            self._loop.call_later(wait_s, self._share_crashes)
         if not self._done.done():
             self._done.set_result(action.result)
 
--- a/burdockmill/forwarding/request_run.py
+++ b/burdockmill/forwarding/request_run.py
@@ -56,7 +56,7 @@
         self.route = route
         self.parts = [PartRun(index, name) for index, name in enumerate(services)]
         self.completed = False
-        self.suspicion = RunSuspicion(request, len(services) > 1, planner.guard)
+        self.suspicion = RunSuspicion(request, route.shards is not None, planner.guard)
         self._planner = planner
         self._row_by_attempt: dict[int, tuple[PartRun, AttemptRow]] = {}
         self._hedges = HedgeQueue()
@@ -198,7 +198,7 @@
             self.route.is_idempotent,
             now_ms,
             kind,
-            self.suspicion.crashed_domains,
+            self.suspicion.avoided_domains,
         )
 
     def _add(
--- a/burdockmill/forwarding/run_suspicion.py
+++ b/burdockmill/forwarding/run_suspicion.py
@@ -11,6 +11,8 @@
 from burdockmill.policies.crash_blame import HELD_DEPTH
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from burdockmill.forwarding.crash_guard import CrashGuard
     from burdockmill.forwarding.messages import (
         AttemptKind,
@@ -40,10 +42,10 @@
         self.has_given_up = False
         self.canary: int | None = None
         self.waiting: list[tuple[PartRun, AttemptKind]] = []
-        self.crashed_domains: set[DomainId] = set()
         self._request = request
         self._is_search = is_search
         self._guard = guard
+        self._crashed_domains: set[DomainId] = set()
         self._is_trial = False
         self._has_answer = False
         self._unanswered_keys: set[str] = set()
@@ -59,6 +61,11 @@
         """Return whether an upstream seems to have ended under this request."""
         return bool(self._unanswered_keys)
 
+    @property
+    def avoided_domains(self) -> Collection[DomainId]:
+        """Return the failure domains that the canary does not go to if it can."""
+        return self._crashed_domains if self.is_cautious else ()
+
     @property
     def is_urgent(self) -> bool:
         """Return whether others should know before this run has ended."""
@@ -153,7 +160,7 @@
             keys.remove(self.digest)
         else:
             self.is_cautious = True
-        self.crashed_domains.add(row.upstream.domain)
+        self._crashed_domains.add(row.upstream.domain)
         for key in keys:
             self._unanswered_keys.add(key)
             depth = self._known_depth.get((row.number, key), 0)
