--- a/burdockmill/forwarding/crash_guard.py
+++ b/burdockmill/forwarding/crash_guard.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from burdockmill.forwarding.upstream_notices import Incarnation
-from burdockmill.messages.events import SuspectsChanged
+from burdockmill.messages.suspects import SuspectsChanged
 from burdockmill.placement import rendezvous
 from burdockmill.policies.crash_blame import Crash
 
--- a/burdockmill/messages/events.py
+++ b/burdockmill/messages/events.py
@@ -11,6 +11,7 @@
 from burdockmill.messages.fleet import GossipUpdates, RulesDelta
 from burdockmill.messages.peer import Hit, PeerMessage, Reason, Ticket
 from burdockmill.messages.platform import HostList, Manifest
+from burdockmill.messages.suspects import SuspectsChanged
 from burdockmill.names import (
     AttemptId,
     CallerId,
@@ -63,12 +64,6 @@
     started_ms: int
 
 
-class SuspectsChanged(NamedTuple):
-    """Report that this host learned of crashes, or of an answer, that others need."""
-
-    keys: tuple[str, ...]
-
-
 class CallerDisconnected(NamedTuple):
     """Report that a caller disconnected before its answer."""
 
--- a/burdockmill/messages/suspects.py
+++ b/burdockmill/messages/suspects.py
@@ -1,4 +1,4 @@
-"""Define the messages by which hosts tell each other which requests crash upstreams."""
+"""Define how hosts tell each other which requests crash upstreams."""
 
 from __future__ import annotations
 
@@ -53,3 +53,12 @@
     """Ask a host for its reports if it knows other ones than the sender."""
 
     checksum: int
+
+
+class SuspectsChanged(NamedTuple):
+    """Report, on one host, that it learned of crashes or of an answer that others need.
+
+    The core's event, not a message; it does not leave the host.
+    """
+
+    keys: tuple[str, ...]
--- a/burdockmill/systems/suspect_news_system.py
+++ b/burdockmill/systems/suspect_news_system.py
@@ -9,8 +9,8 @@
 from typing import TYPE_CHECKING
 
 from burdockmill.messages.actions import LogDecision, SendToPeer
-from burdockmill.messages.events import HostStarted, PeerReceived, SuspectsChanged
-from burdockmill.messages.suspects import SuspectNews, SuspectPoll
+from burdockmill.messages.events import HostStarted, PeerReceived
+from burdockmill.messages.suspects import SuspectNews, SuspectPoll, SuspectsChanged
 from burdockmill.systems.system import System
 
 if TYPE_CHECKING:
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -4,7 +4,7 @@
 
 from burdockmill.forwarding.crash_guard import CrashGuard, Standing
 from burdockmill.forwarding.upstream_notices import Incarnation
-from burdockmill.messages.events import SuspectsChanged
+from burdockmill.messages.suspects import SuspectsChanged
 from burdockmill.policies.crash_blame import HELD_DEPTH, HELD_MS, TRIAL_DELAYS_MS
 from burdockmill.tables.crash_suspects import ROWS_LIMIT, CrashSuspects
 from tests.builders_forwarding import make_registration
