Bound what hosts tell each other of suspected requests, in all

Each host told of eight requests a second, every crash under each was passed on by every host to eight others, and every comparison returned all suspected rows. Now all hosts together tell of one new request a second beyond a burst, crashes with the same cause are no news, and only what is held back is compared.

--- a/burdockmill/forwarding/crash_guard.py
+++ b/burdockmill/forwarding/crash_guard.py
@@ -28,9 +28,10 @@
 MIN_RETURN_MS = 1_000.0
 # A request that gets no more trials is told to return after this time.
 NO_TRIAL_RETURN_MS = 3_600_000.0
-# A host tells others of so many newly suspected requests at once, and on average.
+# All hosts together tell of so many newly suspected requests at once, and on average,
+# since each report reaches every host several times.
 SHARES_BURST = 16.0
-SHARES_PER_MS = 0.008
+SHARES_PER_MS = 0.001
 # Ended upstreams beyond this number are discarded, oldest first.
 ENDED_LIMIT = 1_024
 
@@ -113,9 +114,12 @@
         if len(self._ended_ms_by_incarnation) > ENDED_LIMIT:
             oldest = next(iter(self._ended_ms_by_incarnation))
             del self._ended_ms_by_incarnation[oldest]
+        known = self.depth(key)
         crash = Crash(self._host, known_depth + 1, now_ms)
         row = self.suspects.record(key, incarnation, crash, now_ms)
-        if row is not None and (row.is_shared or row.is_held):
+        if row is None or row.depth <= known:
+            return
+        if row.is_shared or row.is_held:
             self._publish(row)
 
     def trial_failed(self, key: str, now_ms: float) -> None:
@@ -161,8 +165,9 @@
                 continue
             elapsed_ms = max(0.0, now_ms - self._refilled_ms)
             self._refilled_ms = now_ms
-            refilled = self._shares + elapsed_ms * SHARES_PER_MS
-            self._shares = min(SHARES_BURST, refilled)
+            hosts = max(1, len(self._live_hosts()))
+            refilled = self._shares + elapsed_ms * SHARES_PER_MS / hosts
+            self._shares = min(max(1.0, SHARES_BURST / hosts), refilled)
             if self._shares < 1.0:
                 self.counts["shares_refused"] += 1
                 return
--- a/burdockmill/systems/suspect_news_system.py
+++ b/burdockmill/systems/suspect_news_system.py
@@ -26,11 +26,12 @@
 REPORTS_PER_MESSAGE = 32
 # News within this time of the last is sent together.
 BATCH_WINDOW_MS = 20.0
-# Interval at which a host compares what it knows with a random other one, while any
-# request is held back, while some are suspected, and while it has just started.
+# Interval at which a host compares what it holds back with a random other one, while it
+# holds any request back, and while it has just started.
 HELD_POLL_MS = 1_000.0
-SUSPECTED_POLL_MS = 5_000.0
 START_POLL_MS = 250.0
+# Interval at which rows expire while nothing is held back; no message is sent.
+EXPIRY_MS = 5_000.0
 
 
 class SuspectNewsSystem(System):
@@ -61,7 +62,8 @@
             self._schedule_poll(world, now_ms)
         if POLL in world.due(self.name).pop_due(now_ms):
             world.suspects.expire(now_ms)
-            for host in self._targets(world, 1):
+            polls = world.suspects.holds_any or world.is_starting(now_ms)
+            for host in self._targets(world, 1) if polls else ():
                 poll = SuspectPoll(world.suspects.checksum())
                 actions.append(SendToPeer(host, poll))
             self._schedule_poll(world, now_ms)
@@ -104,7 +106,7 @@
         _log_changes(world, changed, f"news of {sender}", now_ms, actions)
         if news.is_reply:
             if suspects.checksum() != news.checksum:
-                self._send_news(world, [sender], _shared(world), now_ms, actions)
+                self._send_news(world, [sender], _held_keys(world), now_ms, actions)
             return
         if stale:
             self._send_news(world, [sender], stale, now_ms, actions)
@@ -120,7 +122,7 @@
         actions: list[Action],
     ) -> None:
         if poll.checksum != world.suspects.checksum():
-            keys = _shared(world)
+            keys = _held_keys(world)
             self._send_news(world, [sender], keys, now_ms, actions, is_reply=True)
 
     def _send_news(
@@ -159,7 +161,7 @@
         elif world.suspects.holds_any:
             wait_ms = HELD_POLL_MS
         elif world.suspects:
-            wait_ms = SUSPECTED_POLL_MS
+            wait_ms = EXPIRY_MS
         else:
             due.cancel(POLL)
             return
@@ -167,10 +169,9 @@
             due.schedule(POLL, now_ms + world.rng.uniform(0.5, 1.0) * wait_ms)
 
 
-def _shared(world: World) -> list[str]:
-    """Return the keys of all rows that other hosts were told of, held ones first."""
-    rows = sorted(world.suspects, key=lambda row: (not row.is_held, row.key))
-    return [row.key for row in rows if row.is_shared]
+def _held_keys(world: World) -> list[str]:
+    """Return the keys of the requests that are held back."""
+    return [row.key for row in world.suspects if row.is_held]
 
 
 def _log_changes(
--- a/burdockmill/tables/crash_suspects.py
+++ b/burdockmill/tables/crash_suspects.py
@@ -219,12 +219,14 @@
             if is_changed:
                 row.start_round(report.round, now_ms)
         row.is_shared = True
-        was_held = row.is_held
+        was_held, depth = row.is_held, row.depth
         for told in report.crashes:
             incarnation = Incarnation(told.upstream, told.started_ms)
             ended_ms = now_ms - max(0.0, told.ended_age_ms)
             crash = Crash(told.host, told.depth, ended_ms)
-            is_changed = row.add(incarnation, crash) or is_changed
+            row.add(incarnation, crash)
+        # More crashes with the same cause are no news.
+        is_changed = is_changed or row.depth > depth
         if report.is_held and not row.is_held:
             row.is_held = is_changed = True
         if report.trials > row.trials:
@@ -246,12 +248,8 @@
         return tuple(row.report(now_ms) for row in rows if row is not None)
 
     def checksum(self) -> int:
-        """Return a number that is equal on hosts that know the same crashes."""
-        known = [
-            (row.key, row.round, row.is_held, row.trials, sorted(crashes))
-            for row in self
-            if (crashes := row.crash_by_incarnation) and row.is_shared
-        ]
+        """Return a number that is equal on hosts that hold back the same requests."""
+        known = [(row.key, row.round, row.trials) for row in self if row.is_held]
         return xxh3_64_intdigest(repr(sorted(known)).encode()) if known else 0
 
     def expire(self, now_ms: float) -> None:
