--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -258,3 +258,24 @@
     bench.guard.crashed(KEY, one._replace(started_ms=2), 1, 2.0)
     assert bench.guard.depth(KEY) == 2
     assert Incarnation.of(one) == ("u-1", 1)
+
+
+def test_news_of_an_outage_is_bounded_in_sum_over_many_hosts():
+    live = [f"h-{number}" for number in range(84)]
+    bench = GuardBench("h-1", live)
+    for number in range(500):
+        bench.crash(f"key-{number}")
+        bench.guard.share([f"key-{number}"], 10.0 * number)
+    assert len(bench.told) <= 2
+
+
+def test_more_crashes_with_the_same_cause_are_no_news():
+    first, second = GuardBench("h-1"), GuardBench("h-2")
+    first.crash(depth=0)
+    first.guard.share([KEY], 0.0)
+    second.merge_from(first)
+    for _ in range(5):
+        first.crash(depth=0)
+    assert len(first.told) == 1
+    [report] = first.suspects.reports([KEY], 0.0)
+    assert not second.suspects.merge(report, 0.0).is_changed
