--- a/burdockmill/messages/suspects.py
+++ b/burdockmill/messages/suspects.py
@@ -38,7 +38,7 @@
 
 
 class SuspectNews(NamedTuple):
-    """Carry reports; `checksum` is of all that the sender knows.
+    """Carry reports; `checksum` is of what the sender holds back.
 
     With `is_reply` the sender was asked for them, and the receiver returns what the
     sender lacks.
@@ -50,7 +50,7 @@
 
 
 class SuspectPoll(NamedTuple):
-    """Ask a host for its reports if it knows other ones than the sender."""
+    """Ask a host for what it holds back if that differs from the sender's."""
 
     checksum: int
 
