Tell when a host hears from no upstream

Now a host records which upstreams replied and which failed to respond; a reach: line and the gauge burdockmill_isolated tell when several in several failure domains failed and none was heard in between, with the kinds of failures. The status lists the services that are not reached, and an attempt that got no connection in time says so. Nothing is decided by it.

--- a/burdockmill/_forwarding_reports.py
+++ b/burdockmill/_forwarding_reports.py
@@ -8,6 +8,7 @@
 from burdockmill.member_status import members_of
 from burdockmill.metrics import (
     CONNECTIONS_OPEN,
+    ISOLATED,
     MEMBERS,
     READY,
     REQUESTS_OPEN,
@@ -56,6 +57,10 @@
             "catalog_age_ms": round(now_ms - world.fleet.confirmed_ms),
             "requests_open": len(node.data_path.forwarder.open_runs),
             "members": members_of(world),
+            "isolated": world.reach.is_isolated,
+            "services_not_reached": sorted(
+                world.reach.failing_services(catalog.registration_by_upstream.values())
+            ),
             "requests_held_back": [
                 {"digest": row.key, **(explain(row.key, now_ms) or {})}
                 for row in world.suspects
@@ -97,6 +102,7 @@
         metrics.set_event_counts("repeats", node.data_path.budget.counts)
         metrics.set_event_counts("limits", world.limits.counts)
         metrics.set_event_counts("tokens", node.data_path.gate.counts)
+        metrics.set_event_counts("reach", world.reach.counts)
         metrics.set_event_counts("suspects", world.suspects.counts)
         metrics.set_event_counts("crash_guard", node.data_path.guard.counts)
         metrics.set_event_counts("notices", node.data_path.notices.counts)
@@ -111,6 +117,7 @@
         age_ms = node.clock.now_ms() - world.fleet.confirmed_ms
         metrics.set_gauge(REVISION, world.revision)
         metrics.set_gauge(STORE_ERA, world.catalog.era)
+        metrics.set_gauge(ISOLATED, world.reach.is_isolated)
         metrics.set_gauge(RULES_AGE, age_ms / MILLISECONDS_PER_SECOND)
         self._set_members()
         return metrics.render_text(accept)
--- a/burdockmill/clients/forwarding_client.py
+++ b/burdockmill/clients/forwarding_client.py
@@ -40,12 +40,13 @@
 class InFlightAttempt:
     """Track an attempt: its task, and whether its request may have been written."""
 
-    __slots__ = ("action", "started_ms", "task", "written_ms")
+    __slots__ = ("action", "connect_timed_out", "started_ms", "task", "written_ms")
 
     def __init__(self, action: SendAttempt, started_ms: float) -> None:
         self.action = action
         self.started_ms = started_ms
         self.written_ms: float | None = None
+        self.connect_timed_out = False
         self.task: asyncio.Task[AttemptOutcome] | None = None
 
     @property
@@ -201,6 +202,7 @@
 
 def _cancel_if_not_written(attempt: InFlightAttempt) -> None:
     if not attempt.written:
+        attempt.connect_timed_out = True
         attempt.cancel()
 
 
@@ -209,7 +211,8 @@
 ) -> AttemptOutcome:
     if task.cancelled():
         end = AttemptEnd.SILENT if attempt.written else AttemptEnd.NOT_SENT
-        return AttemptOutcome(end, detail="cancelled")
+        detail = "no connection in time" if attempt.connect_timed_out else "cancelled"
+        return AttemptOutcome(end, detail=detail)
     error = task.exception()
     if error is None:
         return task.result()
--- a/burdockmill/forwarding/data_path.py
+++ b/burdockmill/forwarding/data_path.py
@@ -11,6 +11,8 @@
 from burdockmill.forwarding.merge_policy import GreatestRecords
 from burdockmill.forwarding.observations import Observations
 from burdockmill.forwarding.planner import Planner
+from burdockmill.forwarding.reach_monitor import ReachMonitor
+from burdockmill.forwarding.reach_timer import ReachTimer
 from burdockmill.forwarding.request_log import RequestLog
 from burdockmill.forwarding.token_gate import TokenGate
 from burdockmill.forwarding.upstream_notices import UpstreamNotices
@@ -28,6 +30,7 @@
     from burdockmill.forwarding.codecs import UpstreamCodec
     from burdockmill.forwarding.messages import Registration
     from burdockmill.forwarding.settings import ForwardingSettings
+    from burdockmill.messages.actions import LogDecision
     from burdockmill.messages.events import CatalogChanged, Event
     from burdockmill.metrics import Metrics
     from burdockmill.names import HostId, ServiceId
@@ -84,6 +87,11 @@
             self.gate,
             self.guard,
         )
+        self.reach = ReachMonitor(
+            world.reach, self.observations, self._usable_upstreams, self._log_decision
+        )
+        self._decisions = decisions
+        self._flush_soon = flush_soon
         log = RequestLog(world, self._planner, decisions, metrics, flush_soon)
         self.forwarder = Forwarder(
             clock,
@@ -93,7 +101,10 @@
             GreatestRecords(),
             self.client,
             log,
+            self.reach,
+            lambda: self.reach_timer.start(),
         )
+        self.reach_timer = ReachTimer(self.reach, clock, self.forwarder.open_attempts)
 
     def apply(self, settings: ForwardingSettings) -> None:
         """Apply changed limits of repeat attempts."""
@@ -119,11 +130,13 @@
             registration = registered.get(upstream)
             if registration is None:
                 self.observations.remove([upstream])
+                self._world.reach.forget(upstream)
                 self.client.close_pools([upstream])
                 continue
             observation = self.observations.of(upstream)
             if observation.started_ms != registration.started_ms:
                 cold_until_ms = now_ms + registration.cold_ms
+                self._world.reach.forget(upstream)
                 self.observations.reset(
                     upstream, registration.started_ms, cold_until_ms
                 )
@@ -135,6 +148,14 @@
             self.budget.retain_only({one.name for one in catalog.tables.services})
             self.client.apply_limits(registered)
 
+    def _usable_upstreams(self) -> list[Registration]:
+        registered = self._world.catalog.registration_by_upstream.values()
+        return [one for one in registered if not one.draining]
+
+    def _log_decision(self, decision: LogDecision, now_ms: float) -> None:
+        self._decisions.add(decision, now_ms)
+        self._flush_soon()
+
     def _live_hosts(self) -> list[HostId]:
         return [row.host for row in self._world.member_by_host.values() if row.alive]
 
--- a/burdockmill/forwarding/forwarder.py
+++ b/burdockmill/forwarding/forwarder.py
@@ -7,6 +7,7 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
+from burdockmill.clients.forwarding_client import InFlightAttempt
 from burdockmill.errors import BurdockmillError, NotReadyError, UnknownRouteError
 from burdockmill.forwarding.actions import Conclude, SendAttempt, WithdrawAttempt
 from burdockmill.forwarding.messages import (
@@ -16,18 +17,20 @@
     MergedAnswer,
     UpstreamAnswer,
 )
+from burdockmill.forwarding.reach_monitor import OpenAttempt
 from burdockmill.forwarding.request_run import RequestRun
 from burdockmill.forwarding.upstream_notices import Incarnation
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
-    from burdockmill.clients.forwarding_client import ForwardingClient, InFlightAttempt
+    from burdockmill.clients.forwarding_client import ForwardingClient
     from burdockmill.clock import Clock
     from burdockmill.forwarding.actions import RunAction
     from burdockmill.forwarding.merge_policy import MergePolicy
     from burdockmill.forwarding.messages import ForwardedRequest, Registration
     from burdockmill.forwarding.planner import Planner
+    from burdockmill.forwarding.reach_monitor import ReachMonitor
     from burdockmill.forwarding.request_log import RequestLog
     from burdockmill.forwarding.routes import Route
     from burdockmill.forwarding.token_gate import WaitingAttempt
@@ -62,6 +65,8 @@
         merge: MergePolicy,
         client: ForwardingClient,
         log: RequestLog,
+        reach: ReachMonitor,
+        on_attempt: Callable[[], None],
     ) -> None:
         self.counts: Counter[str] = Counter()
         self.open_runs: set[_RunExecutor] = set()
@@ -69,6 +74,8 @@
         self.planner = planner
         self.client = client
         self.log = log
+        self.reach = reach
+        self.on_attempt = on_attempt
         self._catalog = catalog
         self._keys = count()
         self._choices = choices
@@ -99,6 +106,11 @@
             raise result
         return result
 
+    def open_attempts(self) -> Iterable[OpenAttempt]:
+        """Return the attempts in flight of requests that wait for their answers."""
+        for executor in self.open_runs:
+            yield from executor.open_attempts()
+
     def _route_of(self, request: ForwardedRequest) -> Route:
         if self._catalog.tables is None:
             raise NotReadyError(
@@ -139,6 +151,15 @@
         self._execute(self._run.start(now_ms), now_ms)
         return await self._done
 
+    def open_attempts(self) -> Iterable[OpenAttempt]:
+        """Return the attempts in flight, but not those that wait for a token."""
+        for part in self._run.parts:
+            for row in part.in_flight:
+                if isinstance(
+                    self._sending_by_attempt.get(row.number), InFlightAttempt
+                ):
+                    yield OpenAttempt(row.upstream, row.sent_ms)
+
     def cancel(self) -> None:
         """Cancel every attempt, since the client has disconnected."""
         self._run.completed = True
@@ -188,6 +209,7 @@
         self._sending_by_attempt[action.attempt] = self._forwarder.client.send(
             self._run.request, action, on_end
         )
+        self._forwarder.on_attempt()
 
     def _ended(self, action: SendAttempt, key: int, outcome: AttemptOutcome) -> None:
         forwarder = self._forwarder
@@ -203,6 +225,12 @@
             forwarder.log.limited(self._run, action, outcome, now_ms)
         was_needed = not self._run.is_complete(action.part)
         end = outcome.end
+        forwarder.reach.ended(
+            OpenAttempt(action.upstream, self._run.sent_ms(action.attempt)),
+            outcome,
+            now_ms,
+            was_needed,
+        )
         if end is AttemptEnd.NOT_SENT and not was_needed:
             # Withdrawn before it was written: not an observation of the upstream.
             observations.of(action.upstream.upstream).withdrawn(key)
--- /dev/null
+++ b/burdockmill/forwarding/reach_monitor.py
@@ -0,0 +1,119 @@
+"""Notice from the outcomes of attempts when this host reaches no upstream."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, NamedTuple
+
+from burdockmill.forwarding.messages import AttemptEnd
+from burdockmill.messages.actions import LogDecision
+from burdockmill.tables.upstream_reach import ReachFailure
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection, Iterable
+
+    from burdockmill.forwarding.messages import AttemptOutcome, Registration
+    from burdockmill.forwarding.observations import Observations
+    from burdockmill.tables.upstream_reach import UpstreamReach
+
+# An attempt without a reply counts as silent after this multiple of the upstream's
+# latency, and some time for the network and a queue.
+SILENT_LATENCY_FACTOR = 2.0
+SILENT_EXTRA_MS = 40.0
+MIN_SILENT_MS = 80.0
+# The same for an upstream of which no latency is known.
+UNKNOWN_SILENT_MS = 250.0
+
+HEARD_ENDS = frozenset(
+    {
+        AttemptEnd.ANSWERED,
+        AttemptEnd.UPSTREAM_ERROR,
+        AttemptEnd.NOT_RUN,
+        AttemptEnd.WRONG_INSTANCE,
+    }
+)
+
+
+class OpenAttempt(NamedTuple):
+    """Describe an attempt in flight; `since_ms` is the clock time of its start."""
+
+    upstream: Registration
+    since_ms: float
+
+
+class ReachMonitor:
+    """Record whether attempts show that upstreams are reached, and log changes."""
+
+    def __init__(
+        self,
+        reach: UpstreamReach,
+        observations: Observations,
+        usable: Callable[[], Collection[Registration]],
+        log: Callable[[LogDecision, float], None],
+    ) -> None:
+        self.reach = reach
+        self._observations = observations
+        self._usable = usable
+        self._log = log
+
+    def ended(
+        self,
+        attempt: OpenAttempt,
+        outcome: AttemptOutcome,
+        now_ms: float,
+        was_needed: bool,
+    ) -> None:
+        """Record how an attempt ended; `was_needed` is false if it was withdrawn."""
+        upstream = attempt.upstream
+        end = outcome.end
+        if end in HEARD_ENDS or (
+            end is AttemptEnd.WRONG_ANSWER and not outcome.is_cut_off
+        ):
+            self.heard(upstream, now_ms)
+        elif outcome.is_cut_off:
+            self.failed(upstream, ReachFailure.CUT_OFF, now_ms)
+        elif end is AttemptEnd.NOT_SENT and was_needed:
+            self.failed(upstream, ReachFailure.UNCONNECTED, now_ms)
+        elif end is AttemptEnd.SILENT and self._is_silent(attempt, now_ms):
+            self.failed(upstream, ReachFailure.SILENT, now_ms)
+
+    def check(self, attempts: Iterable[OpenAttempt], now_ms: float) -> None:
+        """Record the attempts in flight that have had no reply for long."""
+        for attempt in attempts:
+            if self._is_silent(attempt, now_ms):
+                self.failed(attempt.upstream, ReachFailure.SILENT, now_ms)
+
+    def heard(self, upstream: Registration, now_ms: float) -> None:
+        """Record that an upstream replied or accepted a connection."""
+        isolated_ms = now_ms - (self.reach.isolated_since_ms or now_ms)
+        if self.reach.heard(upstream.upstream, now_ms):
+            inputs = {"heard": upstream.upstream, "isolated_ms": round(isolated_ms)}
+            reason = "an upstream responds again"
+            decision = LogDecision("reach", "", "connected", reason, inputs=inputs)
+            self._log(decision, now_ms)
+
+    def failed(self, upstream: Registration, kind: ReachFailure, now_ms: float) -> None:
+        """Record that an upstream does not respond."""
+        heard_ms = self.reach.heard_ms
+        if self.reach.failed(upstream, kind, now_ms, self._usable()):
+            failures = self.reach.unheard
+            inputs = {
+                "last_heard_ms_ago": round(min(now_ms - heard_ms, now_ms)),
+                "failed": len(failures),
+                "kinds": dict(Counter(one.kind.value for one in failures)),
+                "domains": sorted({one.domain for one in failures}),
+            }
+            reason = "no upstream responds"
+            decision = LogDecision("reach", "", "isolated", reason, inputs=inputs)
+            self._log(decision, now_ms)
+
+    def _is_silent(self, attempt: OpenAttempt, now_ms: float) -> bool:
+        upstream = attempt.upstream.upstream
+        if attempt.since_ms <= self.reach.heard_of_ms(upstream):
+            return False
+        latency_ms = self._observations.of(upstream).latency_ms
+        if latency_ms is None:
+            limit_ms = UNKNOWN_SILENT_MS
+        else:
+            limit_ms = SILENT_LATENCY_FACTOR * latency_ms + SILENT_EXTRA_MS
+        return now_ms - attempt.since_ms >= max(MIN_SILENT_MS, limit_ms)
--- /dev/null
+++ b/burdockmill/forwarding/reach_timer.py
@@ -0,0 +1,52 @@
+"""Check attempts in flight for silence while no upstream is heard."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from burdockmill.clock import Clock
+    from burdockmill.forwarding.reach_monitor import OpenAttempt, ReachMonitor
+
+MILLISECONDS_PER_SECOND = 1_000
+CHECK_INTERVAL_MS = 40.0
+
+
+class ReachTimer:
+    """Run the monitor's check periodically while there are attempts in flight."""
+
+    def __init__(
+        self,
+        monitor: ReachMonitor,
+        clock: Clock,
+        attempts: Callable[[], Iterable[OpenAttempt]],
+    ) -> None:
+        self._monitor = monitor
+        self._clock = clock
+        self._attempts = attempts
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Check periodically from now on, until no attempt is in flight."""
+        if self._timer is None:
+            wait_s = CHECK_INTERVAL_MS / MILLISECONDS_PER_SECOND
+            self._timer = asyncio.get_running_loop().call_later(wait_s, self._check)
+
+    def close(self) -> None:
+        """Stop checking."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _check(self) -> None:
+        self._timer = None
+        attempts = list(self._attempts())
+        if not attempts:
+            return
+        now_ms = self._clock.now_ms()
+        if now_ms - self._monitor.reach.heard_ms >= CHECK_INTERVAL_MS:
+            self._monitor.check(attempts, now_ms)
+        self.start()
--- a/burdockmill/forwarding/request_run.py
+++ b/burdockmill/forwarding/request_run.py
@@ -90,6 +90,10 @@
         """Return whether a part needs no more attempts."""
         return self.completed or self.parts[part].is_complete
 
+    def sent_ms(self, attempt: int) -> float:
+        """Return the clock time at which an attempt was sent, in milliseconds."""
+        return self._row_by_attempt[attempt][1].sent_ms
+
     def start(self, now_ms: float) -> list[RunAction]:
         """Send the first attempt of every part, or answer if no time is left."""
         self._is_past_partial = now_ms >= self._times.partial_ms
--- a/burdockmill/forwarding_node.py
+++ b/burdockmill/forwarding_node.py
@@ -206,6 +206,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for listener in self.listener_by_surface.values():
             await listener.close()
+        self.data_path.reach_timer.close()
         await self.data_path.client.close()
         await self.peers.close()
         await self.source.close()
--- a/burdockmill/metrics.py
+++ b/burdockmill/metrics.py
@@ -74,6 +74,12 @@
     "Era of the platform's store that the catalog is from; it rises when the store "
     "restarts without its latest changes.",
 )
+ISOLATED = Metric(
+    "burdockmill_isolated",
+    MetricKind.GAUGE,
+    (),
+    "1 while this host reaches no upstream.",
+)
 RULES_AGE = Metric(
     "burdockmill_rules_age_seconds",
     MetricKind.GAUGE,
@@ -119,6 +125,7 @@
     READY,
     REVISION,
     STORE_ERA,
+    ISOLATED,
     RULES_AGE,
     REFUSED_REVISION,
     MEMBERS,
--- /dev/null
+++ b/burdockmill/tables/upstream_reach.py
@@ -0,0 +1,138 @@
+"""Record which upstreams this host hears from, and which fail to respond to it."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from enum import StrEnum
+from typing import TYPE_CHECKING, NamedTuple
+
+from burdockmill.policies.isolation import is_isolated
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
+    from burdockmill.forwarding.messages import Registration
+    from burdockmill.names import DomainId, ServiceId, UpstreamId
+
+
+class ReachFailure(StrEnum):
+    """Enumerate how an upstream can fail to respond."""
+
+    UNCONNECTED = "unconnected"
+    SILENT = "silent"
+    CUT_OFF = "cut_off"
+
+
+class FailedReach(NamedTuple):
+    """Record a failure to reach an upstream that has not been heard since."""
+
+    domain: DomainId
+    service: ServiceId
+    kind: ReachFailure
+    since_ms: float
+
+
+class UpstreamReach:
+    """Record when upstreams were heard, and the failures since; times in milliseconds.
+
+    An upstream is heard when it replies to an attempt or accepts a connection. This
+    host is isolated once several upstreams, in several failure domains, have failed one
+    after the other and none was heard in between.
+    """
+
+    def __init__(self, domain: DomainId) -> None:
+        self.counts: Counter[str] = Counter()
+        self.heard_ms = -math.inf
+        self.isolated_since_ms: float | None = None
+        self._domain = domain
+        self._heard_ms_by_upstream: dict[UpstreamId, float] = {}
+        self._failed_by_upstream: dict[UpstreamId, FailedReach] = {}
+        # The failures since any upstream was heard.
+        self._unheard_by_upstream: dict[UpstreamId, FailedReach] = {}
+
+    @property
+    def is_isolated(self) -> bool:
+        """Return whether this host seems to reach no upstream at all."""
+        return self.isolated_since_ms is not None
+
+    @property
+    def is_suspicious(self) -> bool:
+        """Return whether upstreams have failed and none was heard since."""
+        return bool(self._unheard_by_upstream)
+
+    @property
+    def unheard(self) -> Collection[FailedReach]:
+        """Return the failures since any upstream was heard."""
+        return self._unheard_by_upstream.values()
+
+    def is_unheard(self, upstream: UpstreamId) -> bool:
+        """Return whether an upstream has failed since any upstream was heard."""
+        return upstream in self._unheard_by_upstream
+
+    def is_failing(self, upstream: UpstreamId) -> bool:
+        """Return whether an upstream has failed, and was not heard since."""
+        return upstream in self._failed_by_upstream
+
+    def heard_of_ms(self, upstream: UpstreamId) -> float:
+        """Return when an upstream was last heard, negative infinity if never."""
+        return self._heard_ms_by_upstream.get(upstream, -math.inf)
+
+    def failing_services(
+        self, registered: Iterable[Registration]
+    ) -> frozenset[ServiceId]:
+        """Return the services of which every usable upstream fails."""
+        if not self._failed_by_upstream:
+            return frozenset()
+        services = {failed.service for failed in self._failed_by_upstream.values()}
+        for one in registered:
+            if one.service in services and not (
+                one.draining or self.is_failing(one.upstream)
+            ):
+                services.discard(one.service)
+        return frozenset(services)
+
+    def heard(self, upstream: UpstreamId, now_ms: float) -> bool:
+        """Record that an upstream was heard; return whether that ends an isolation."""
+        self.heard_ms = now_ms
+        self._heard_ms_by_upstream[upstream] = now_ms
+        self._failed_by_upstream.pop(upstream, None)
+        self._unheard_by_upstream.clear()
+        if self.isolated_since_ms is None:
+            return False
+        self.isolated_since_ms = None
+        # What failed meanwhile tells of this host, not of the upstreams.
+        self._failed_by_upstream.clear()
+        self.counts["isolations_ended"] += 1
+        return True
+
+    def failed(
+        self,
+        upstream: Registration,
+        kind: ReachFailure,
+        now_ms: float,
+        usable: Collection[Registration],
+    ) -> bool:
+        """Record a failure; return whether this host is isolated from now on.
+
+        `usable` are all upstreams that this host might send to.
+        """
+        failed = FailedReach(upstream.domain, upstream.service, kind, now_ms)
+        self._failed_by_upstream.setdefault(upstream.upstream, failed)
+        if upstream.upstream in self._unheard_by_upstream:
+            return False
+        self._unheard_by_upstream[upstream.upstream] = failed
+        if self.is_isolated:
+            return False
+        domains = [one.domain for one in self._unheard_by_upstream.values()]
+        if not is_isolated(self._domain, domains, [one.domain for one in usable]):
+            return False
+        self.isolated_since_ms = now_ms
+        self.counts["isolations"] += 1
+        return True
+
+    def forget(self, upstream: UpstreamId) -> None:
+        """Remove an upstream that is gone, or that has another incarnation."""
+        self._heard_ms_by_upstream.pop(upstream, None)
+        self._failed_by_upstream.pop(upstream, None)
+        self._unheard_by_upstream.pop(upstream, None)
--- a/burdockmill/world.py
+++ b/burdockmill/world.py
@@ -13,6 +13,7 @@
 from burdockmill.tables.fleet import FleetTables
 from burdockmill.tables.timer_queue import TimerQueue
 from burdockmill.tables.upstream_limits import UpstreamLimits
+from burdockmill.tables.upstream_reach import UpstreamReach
 from burdockmill.tables.upstream_view import UpstreamViews
 
 if TYPE_CHECKING:
@@ -48,6 +49,7 @@
         self.catalog = Catalog()
         self.limits = UpstreamLimits()
         self.suspects = CrashSuspects()
+        self.reach = UpstreamReach(domain)
         self.upstream_views = UpstreamViews()
         self.counter_by_name: Counter[str] = Counter()
         self.rate_limiter = RateLimiter()
