--- a/tests/builders_platform_processes.py
+++ b/tests/builders_platform_processes.py
@@ -21,10 +21,13 @@
 class HostProcess:
     """Run one host on a loopback address of its own."""
 
+    module = "burdockmill.platform"
+
     def __init__(self, number, store, folder):
         index = FIRST_INDEX + number
         self.ip = loopback_ip_of(index)
         self.ingress, self.ready, self.peer = (free_address(index) for _ in range(3))
+        self.environment = {}
         self._store = store
         self._path = folder / f"boot-{number}.conf"
         self.process = None
@@ -49,8 +52,12 @@
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "burdockmill.platform",
-            env={**os.environ, "BURDOCKMILL_CONFIG": str(self._path)},
+            self.module,
+            env={
+                **os.environ,
+                "BURDOCKMILL_CONFIG": str(self._path),
+                **self.environment,
+            },
             stdout=asyncio.subprocess.PIPE,
         )
         self._reading = asyncio.create_task(self._read_lines())
