Hand requests over only on fresh evidence that another host reaches upstreams

On virtual fleets, requests were handed over while the upstreams themselves were down: 132 of 836 with all replicas of one shard ended at nine hosts, 180 of 800 at 195. Causes: three replicas of one service that refuse at once looked like an isolated host, and a host with little traffic reported upstreams as reached that it had not heard since they ended. A hand- over also counted itself against the attempts limit, so that its host sent no hedges.

--- a/burdockmill/clients/reach_prober.py
+++ b/burdockmill/clients/reach_prober.py
@@ -41,17 +41,32 @@
         self._targets = targets
         self._rng = rng
         self._task: asyncio.Task[None] | None = None
+        self._single_tests: set[asyncio.Task[None]] = set()
 
     def start(self) -> None:
         """Test from now on until nothing needs a test."""
         if self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._run())
 
+    def test_now(
+        self, targets: Sequence[Registration], on_end: Callable[[], None]
+    ) -> None:
+        """Connect to some upstreams once, and call `on_end` after that."""
+
+        async def test() -> None:
+            await asyncio.gather(*(self._test(one) for one in targets))
+            on_end()
+
+        task = asyncio.get_running_loop().create_task(test())
+        self._single_tests.add(task)
+        task.add_done_callback(self._single_tests.discard)
+
     async def close(self) -> None:
         """Stop testing."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        tasks = [*self._single_tests, *([self._task] if self._task else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _run(self) -> None:
         try:
--- a/burdockmill/forwarding/data_path.py
+++ b/burdockmill/forwarding/data_path.py
@@ -21,16 +21,20 @@
 from burdockmill.forwarding.upstream_notices import UpstreamNotices
 from burdockmill.forwarding.weighted_choice import WeightedChoices
 from burdockmill.messages.events import PeerRevisionReceived
-from burdockmill.messages.reach import ReachWanted
+from burdockmill.messages.reach import LinksTested, ReachWanted
 from burdockmill.policies.connection_share import connection_share, keeps_idle
-from burdockmill.policies.reach_targets import MIN_UNHEARD, reach_targets
+from burdockmill.policies.reach_targets import (
+    MIN_UNHEARD,
+    evidence_targets,
+    reach_targets,
+)
 from burdockmill.policies.repeat_budget import RepeatBudget, RepeatLimits
 from burdockmill.policies.replica_choice import ExpectedLatencyChoice
 from burdockmill.policies.warm_targets import warm_targets
 from burdockmill.relay.relay_planner import RelayPlanner
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Collection, Iterable
 
     from burdockmill.clock import Clock
     from burdockmill.decision_log import DecisionLog
@@ -195,6 +199,12 @@
         registered = self._world.catalog.registration_by_upstream.values()
         return [one for one in registered if not one.draining]
 
+    def test_links(self, services: Collection[ServiceId]) -> None:
+        """Test the links to upstreams of some services, or any; report the end."""
+        usable = self._usable_upstreams()
+        targets = evidence_targets(usable, services, self._domain, self._world.rng)
+        self.prober.test_now(targets, lambda: self._post(LinksTested()))
+
     def _reach_targets(self) -> list[Registration]:
         usable = self._usable_upstreams()
         reach = self._world.reach
--- a/burdockmill/forwarding/failures.py
+++ b/burdockmill/forwarding/failures.py
@@ -72,6 +72,20 @@
     )
 
 
+def lost_elsewhere() -> BurdockmillError:
+    """Return the error of a request whose host ended without a reply."""
+    return UpstreamFailedError(
+        "The host that took the request over did not reply.", ran=Ran.UNKNOWN
+    )
+
+
+def refused_elsewhere(refusal: BurdockmillError) -> BurdockmillError:
+    """Return the error of a request that may have run before a host refused it."""
+    return UpstreamFailedError(
+        f"The first attempts got no answer; then: {refusal.message}", ran=Ran.UNKNOWN
+    )
+
+
 def lost_answer(
     part: PartRun, outlook: Outlook
 ) -> tuple[UpstreamAnswer | BurdockmillError, str]:
--- a/burdockmill/forwarding/part_run.py
+++ b/burdockmill/forwarding/part_run.py
@@ -72,8 +72,13 @@
     @property
     def possible_runs(self) -> int:
         """Return how many upstreams may have run the part, or may still run it."""
+        return self.possible_runs_but(None)
+
+    def possible_runs_but(self, attempt: int | None) -> int:
+        """Return the possible runs without those of one attempt."""
         return sum(
-            row.outcome is None or not row.outcome.end.certainly_not_run
+            row.number != attempt
+            and (row.outcome is None or not row.outcome.end.certainly_not_run)
             for row in self.attempts
         )
 
--- a/burdockmill/forwarding/reach_monitor.py
+++ b/burdockmill/forwarding/reach_monitor.py
@@ -90,6 +90,7 @@
         for attempt in attempts:
             if self._is_silent(attempt, now_ms):
                 self._failed(attempt, ReachFailure.SILENT, now_ms)
+        self._review(now_ms)
 
     def heard(self, upstream: Registration, now_ms: float) -> None:
         """Record that an upstream replied or accepted a connection."""
@@ -106,23 +107,25 @@
         self._failed(attempt, ReachFailure.UNCONNECTED, now_ms)
 
     def _failed(self, attempt: OpenAttempt, kind: ReachFailure, now_ms: float) -> None:
-        heard_ms = self.reach.heard_ms
-        upstream, since_ms = attempt
-        usable = self._usable()
-        if self.reach.failed(upstream, kind, since_ms, now_ms, usable):
-            failures = self.reach.unheard
-            inputs = {
-                "last_heard_ms_ago": round(min(now_ms - heard_ms, now_ms)),
-                "failed": len(failures),
-                "kinds": dict(Counter(one.kind.value for one in failures)),
-                "domains": sorted({one.domain for one in failures}),
-            }
-            reason = "no upstream responds"
-            decision = LogDecision("reach", "", "isolated", reason, inputs=inputs)
-            self._log(decision, now_ms)
-            self._on_change()
+        self.reach.failed(attempt.upstream, kind, attempt.since_ms)
+        self._review(now_ms)
         self._on_failure()
 
+    def _review(self, now_ms: float) -> None:
+        if not self.reach.needs_review or not self.reach.review(self._usable(), now_ms):
+            return
+        failures = self.reach.unheard
+        inputs = {
+            "last_heard_ms_ago": round(min(now_ms - self.reach.heard_ms, now_ms)),
+            "failed": len(failures),
+            "kinds": dict(Counter(one.kind.value for one in failures)),
+            "domains": sorted({one.domain for one in failures}),
+        }
+        reason = "no upstream responds"
+        decision = LogDecision("reach", "", "isolated", reason, inputs=inputs)
+        self._log(decision, now_ms)
+        self._on_change()
+
     def _is_silent(self, attempt: OpenAttempt, now_ms: float) -> bool:
         upstream = attempt.upstream.upstream
         if attempt.since_ms <= self.reach.heard_of_ms(upstream):
--- a/burdockmill/forwarding_node.py
+++ b/burdockmill/forwarding_node.py
@@ -34,7 +34,7 @@
     SeedsRead,
 )
 from burdockmill.messages.limits import TokensChanged
-from burdockmill.messages.reach import ReachChanged
+from burdockmill.messages.reach import LinkTestWanted, ReachChanged
 from burdockmill.metrics import Metrics
 from burdockmill.surfaces._bounded_server import ServerBounds
 from burdockmill.surfaces.host_gateway import HostGateway
@@ -289,6 +289,8 @@
                     self._send_to_peer(action)
                 case Announce(event=CatalogChanged() as change):
                     self.data_path.follow_catalog(change, now_ms)
+                case Announce(event=LinkTestWanted(services=services)):
+                    self.data_path.test_links(services)
                 case Announce(event=ReachChanged()):
                     self.data_path.forwarder.reconsider()
                 case Announce(event=TokensChanged() as tokens):
--- a/burdockmill/messages/events.py
+++ b/burdockmill/messages/events.py
@@ -12,7 +12,12 @@
 from burdockmill.messages.limits import LimitNamed, TokensChanged, TokensWanted
 from burdockmill.messages.peer import Hit, PeerMessage, Reason, Ticket
 from burdockmill.messages.platform import HostList, Manifest
-from burdockmill.messages.reach import ReachChanged, ReachWanted
+from burdockmill.messages.reach import (
+    LinksTested,
+    LinkTestWanted,
+    ReachChanged,
+    ReachWanted,
+)
 from burdockmill.messages.suspects import SuspectsChanged
 from burdockmill.names import (
     AttemptId,
@@ -279,4 +284,6 @@
     | SuspectsChanged
     | ReachWanted
     | ReachChanged
+    | LinkTestWanted
+    | LinksTested
 )
--- a/burdockmill/messages/reach.py
+++ b/burdockmill/messages/reach.py
@@ -8,20 +8,22 @@
 
 
 class ReachQuery(NamedTuple):
-    """Ask a host whether it reaches upstreams, and if it heard from some services.
+    """Ask a host whether it reaches upstreams, and those of some services.
 
-    `asked_ms` is a time of the sender's clock, echoed in the report.
+    It is to have heard from them within `failing_ms`, since when the sender does not
+    reach them. `asked_ms` is a time of the sender's clock, echoed in the report.
     """
 
     services: tuple[ServiceId, ...]
+    failing_ms: float
     asked_ms: float
 
 
 class ReachReport(NamedTuple):
     """State whether the sender runs requests of others, and what it reaches.
 
-    `heard` are the services of the query that it heard from lately, `failing` all those
-    of which every upstream fails to respond to it.
+    `heard` are the services of the query that it heard from as lately as asked for,
+    `failing` all those of which every upstream fails to respond to it.
     """
 
     asked_ms: float
@@ -38,3 +40,13 @@
 
 class ReachChanged(NamedTuple):
     """Report that a host has answered which upstreams it reaches."""
+
+
+class LinkTestWanted(NamedTuple):
+    """Report that another host needs fresh evidence of what this host reaches."""
+
+    services: tuple[ServiceId, ...]
+
+
+class LinksTested(NamedTuple):
+    """Report that the tests that `LinkTestWanted` asked for have ended."""
--- a/burdockmill/policies/reach_targets.py
+++ b/burdockmill/policies/reach_targets.py
@@ -39,22 +39,43 @@
     return [rng.choice(failing)] if failing else []
 
 
+def evidence_targets(
+    usable: Collection[Registration],
+    services: Collection[ServiceId],
+    own_domain: DomainId,
+    rng: random.Random,
+) -> list[Registration]:
+    """Return upstreams that show what this host reaches: of some services, or any."""
+    if not services:
+        return _one_of_each_domain(usable, own_domain, rng)
+    targets = []
+    for service in list(services)[:TARGETS_LIMIT]:
+        replicas = [one for one in usable if one.service == service]
+        targets += [rng.choice(replicas)] if replicas else []
+    return targets
+
+
 def _missing_evidence(
     reach: UpstreamReach,
     usable: Collection[Registration],
     own_domain: DomainId,
     rng: random.Random,
 ) -> list[Registration]:
-    """Return an upstream of each failure domain in which none has failed, own first."""
+    """Return an upstream of each failure domain in which none has failed, if any."""
     failed_domains = {failed.domain for failed in reach.unheard}
-    by_domain = _by_domain(
-        [one for one in usable if not reach.is_unheard(one.upstream)]
-    )
-    domains = sorted(by_domain.keys() - failed_domains)
+    untested = [one for one in usable if not reach.is_unheard(one.upstream)]
+    elsewhere = [one for one in untested if one.domain not in failed_domains]
+    return _one_of_each_domain(elsewhere or untested, own_domain, rng)
+
+
+def _one_of_each_domain(
+    upstreams: Collection[Registration], own_domain: DomainId, rng: random.Random
+) -> list[Registration]:
+    """Return a few upstreams, each of another failure domain, own first."""
+    by_domain = _by_domain(upstreams)
+    domains = sorted(by_domain)
     rng.shuffle(domains)
     domains.sort(key=lambda domain: domain != own_domain)
-    if not domains:
-        domains = sorted(by_domain)
     return [rng.choice(by_domain[domain]) for domain in domains[:TARGETS_LIMIT]]
 
 
--- a/burdockmill/relay/actions.py
+++ b/burdockmill/relay/actions.py
@@ -46,16 +46,3 @@
     end: RelayEnd
     result: UpstreamAnswer | MergedAnswer | BurdockmillError | None = None
     detail: str = ""
-
-
-class RelayRow:
-    """Describe a request at another host; `outcome` is None while it runs there."""
-
-    __slots__ = ("host", "number", "outcome", "sent_ms", "took_ms")
-
-    def __init__(self, number: int, host: HostId, sent_ms: float) -> None:
-        self.number = number
-        self.host = host
-        self.sent_ms = sent_ms
-        self.took_ms: float | None = None
-        self.outcome: RelayOutcome | None = None
--- a/burdockmill/relay/handover_run.py
+++ b/burdockmill/relay/handover_run.py
@@ -10,19 +10,22 @@
     CrashingRequestError,
     DeadlineExceededError,
     Ran,
-    UpstreamFailedError,
 )
 from burdockmill.forwarding.actions import Conclude, WithdrawAttempt
-from burdockmill.forwarding.failures import isolated
+from burdockmill.forwarding.failures import (
+    isolated,
+    lost_elsewhere,
+    refused_elsewhere,
+)
 from burdockmill.forwarding.messages import AttemptKind
 from burdockmill.relay.actions import (
     RelayEnd,
     RelayOutcome,
-    RelayRow,
     SendRelay,
     WithdrawRelay,
 )
 from burdockmill.relay.relay_planner import Way
+from burdockmill.relay.relay_rows import RelayRow, RelayRows
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -54,7 +57,7 @@
     def __init__(self, direct: RequestRun, planner: RelayPlanner) -> None:
         self.direct = direct
         self.completed = False
-        self.relays: list[RelayRow] = []
+        self.relays = RelayRows()
         self._planner = planner
         self._services = tuple(part.service for part in direct.parts)
         self._may_hand_over = not direct.request.entry
@@ -145,7 +148,7 @@
             return []
         if outcome.end is RelayEnd.ANSWERED:
             return self._conclude_relayed(row, now_ms)
-        if any(one.outcome is None for one in self.relays):
+        if self.relays.open:
             return []
         return self._go_on(now_ms, may_wait=False)
 
@@ -155,8 +158,7 @@
         return self._has_started_direct and not self.direct.completed
 
     def _plan(self, now_ms: float) -> RelayPlan:
-        tried = [row.host for row in self.relays]
-        return self._planner.plan(self._services, tried, now_ms)
+        return self._planner.plan(self._services, self.relays.hosts, now_ms)
 
     def _start_direct(self, now_ms: float) -> list[HandoverAction]:
         self._has_started_direct = True
@@ -219,8 +221,9 @@
 
     def _hand_over(self, plan: RelayPlan, now_ms: float) -> list[HandoverAction]:
         number = len(self.relays)
-        self.relays.append(RelayRow(number, plan.host, now_ms))
         route = self.direct.route
+        attempts_limit = max(1, route.attempts_limit - self._runs_so_far())
+        self.relays.append(RelayRow(number, plan.host, now_ms))
         if route.is_idempotent and number == 0:
             delay_ms = SECOND_RELAY_GOAL_FRACTION * route.latency_goal_ms
             self._second_relay_ms = now_ms + max(MIN_SECOND_RELAY_MS, delay_ms)
@@ -230,7 +233,7 @@
                 plan.host,
                 self.direct.final_ms,
                 plan.round_trip_ms,
-                max(1, route.attempts_limit - self._runs_so_far()),
+                attempts_limit,
                 is_counted=self._has_started_direct,
             )
         ]
@@ -247,39 +250,20 @@
         services = [
             part.service
             for part in self.direct.parts
-            if self._is_lost or part.may_have_arrived
+            if self.relays.possible_runs or part.may_have_arrived
         ]
         return self._planner.budget.withdraw_all(services, AttemptKind.RETRY, now_ms)
 
-    @property
-    def _is_lost(self) -> bool:
-        """Return whether another host may have run, or may still run, the request."""
-        return any(
-            row.outcome is None or row.outcome.end is RelayEnd.LOST
-            for row in self.relays
-        )
-
     @property
     def _may_have_run(self) -> bool:
-        return self._is_lost or self._direct_runs() > 0
+        return self._runs_so_far() > 0
 
     def _runs_so_far(self) -> int:
-        lost = sum(
-            row.outcome is None or row.outcome.end is RelayEnd.LOST
-            for row in self.relays
-        )
-        return lost + self._direct_runs()
+        return self.relays.possible_runs + self._direct_runs()
 
     def _direct_runs(self, but: int | None = None) -> int:
         """Return how many upstreams may run any part, not counting one attempt."""
-        return max(
-            sum(
-                row.number != but
-                and (row.outcome is None or not row.outcome.end.certainly_not_run)
-                for row in part.attempts
-            )
-            for part in self.direct.parts
-        )
+        return max(part.possible_runs_but(but) for part in self.direct.parts)
 
     def _has_time(self, now_ms: float) -> bool:
         return now_ms + MIN_RELAY_MS < self.direct.final_ms
@@ -291,21 +275,13 @@
         if not isinstance(result, BurdockmillError):
             self.direct.suspicion.answered_elsewhere(now_ms)
         elif result.ran is Ran.NO and self._may_have_run:
-            error = UpstreamFailedError(
-                f"The first attempts got no answer; then: {result.message}",
-                ran=Ran.UNKNOWN,
-            )
-            return self._conclude(
-                self._fallback or Conclude(error, "refused elsewhere")
-            )
+            refused = Conclude(refused_elsewhere(result), "refused elsewhere")
+            return self._conclude(self._fallback or refused)
         return self._conclude(Conclude(result, f"by way of {row.host}"))
 
     def _conclude(self, conclusion: Conclude) -> list[HandoverAction]:
         self.completed = True
-        withdrawn = [
-            WithdrawRelay(row.number) for row in self.relays if row.outcome is None
-        ]
-        return [*withdrawn, conclusion]
+        return [*(WithdrawRelay(row.number) for row in self.relays.open), conclusion]
 
     def _withdraw_direct(self) -> list[HandoverAction]:
         return [
@@ -317,10 +293,7 @@
     def _refuse(self) -> list[HandoverAction]:
         """Refuse the request, or tell that its answer is lost if it may have run."""
         if self._may_have_run:
-            error: BurdockmillError = UpstreamFailedError(
-                "The host that took the request over did not reply.", ran=Ran.UNKNOWN
-            )
-            return self._conclude(Conclude(error, "lost at another host"))
+            return self._conclude(Conclude(lost_elsewhere(), "lost at another host"))
         error = isolated(self.direct.request.request_id)
         return self._conclude(Conclude(error, "no host reaches an upstream"))
 
--- a/burdockmill/relay/relay_planner.py
+++ b/burdockmill/relay/relay_planner.py
@@ -20,8 +20,8 @@
     from burdockmill.tables.peer_reach import PeerReach, PeerReachRow
     from burdockmill.tables.upstream_reach import UpstreamReach
 
-# Hosts answer a query within this time unless they are far away, busy or gone.
-REPLY_WAIT_MS = 150.0
+# Hosts answer a query within this time, also if they test their links first.
+REPLY_WAIT_MS = 250.0
 # Each request in flight at a host makes it less preferable by this much.
 IN_FLIGHT_MS = 8.0
 
@@ -85,7 +85,7 @@
         if best is not None:
             return RelayPlan(Way.RELAY, best.host, best.round_trip_ms)
         wanted = () if self.is_isolated else unreached
-        asked_ms = self.peers.asked_ms_for(wanted, now_ms)
+        asked_ms = self.peers.asked_since_ms(wanted, now_ms)
         if asked_ms is None:
             self._want(wanted)
             return RelayPlan(Way.WAIT, until_ms=now_ms + REPLY_WAIT_MS)
--- /dev/null
+++ b/burdockmill/relay/relay_rows.py
@@ -0,0 +1,48 @@
+"""Track the hosts to which a request was handed over, and how each ended it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from burdockmill.relay.actions import RelayEnd
+
+if TYPE_CHECKING:
+    from burdockmill.names import HostId
+    from burdockmill.relay.actions import RelayOutcome
+
+
+class RelayRow:
+    """Describe a request at another host; `outcome` is None while it runs there."""
+
+    __slots__ = ("host", "number", "outcome", "sent_ms", "took_ms")
+
+    def __init__(self, number: int, host: HostId, sent_ms: float) -> None:
+        self.number = number
+        self.host = host
+        self.sent_ms = sent_ms
+        self.took_ms: float | None = None
+        self.outcome: RelayOutcome | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether the host may have run the request, or may still run it."""
+        return self.outcome is None or self.outcome.end is RelayEnd.LOST
+
+
+class RelayRows(list[RelayRow]):
+    """Store the rows of one request, in the order in which it was handed over."""
+
+    @property
+    def hosts(self) -> list[HostId]:
+        """Return the hosts that were given the request."""
+        return [row.host for row in self]
+
+    @property
+    def open(self) -> list[RelayRow]:
+        """Return the rows of hosts that still run the request."""
+        return [row for row in self if row.outcome is None]
+
+    @property
+    def possible_runs(self) -> int:
+        """Return how many hosts may have run the request, or may still run it."""
+        return sum(row.may_have_run for row in self)
--- a/burdockmill/surfaces/relay.py
+++ b/burdockmill/surfaces/relay.py
@@ -13,7 +13,7 @@
 from burdockmill.errors import BadRequestError, BurdockmillError, Ran
 from burdockmill.forwarding.messages import ForwardedRequest
 from burdockmill.messages.actions import LogDecision
-from burdockmill.policies.relay_admission import admits
+from burdockmill.policies.relay_admission import reason_to_decline
 from burdockmill.relay.messages import (
     RELAY_PATH,
     WAITED_HEADER,
@@ -66,23 +66,32 @@
         relayed, body = decode_request(await request.read())
         waited_ms = _waited_ms(request.headers.get(WAITED_HEADER, "0"))
         forwarded = _forwarded(relayed, body, waited_ms, self._clock.now_ms())
-        reason = self._reason_to_decline(relayed, forwarded)
+        reason = reason_to_decline(
+            self._world,
+            self._is_stopping(),
+            relayed.version,
+            self._rank_of(forwarded),
+            self.requests_in_flight,
+        )
         if reason:
-            return self._decline(relayed, reason)
+            return web.Response(body=encode(self._declined(relayed, reason), b""))
         self.counts["accepted"] += 1
         self.requests_in_flight += 1
         try:
-            reply, data = await self._run(forwarded, relayed.attempts_limit)
+            reply, data = await self._run(forwarded, relayed)
         finally:
             self.requests_in_flight -= 1
         return web.Response(body=encode(reply, data))
 
     async def _run(
-        self, forwarded: ForwardedRequest, attempts_limit: int
+        self, forwarded: ForwardedRequest, relayed: RelayedRequest
     ) -> tuple[RelayReply, bytes]:
         try:
-            result = await self._forwarder.forward(forwarded, attempts_limit)
+            result = await self._forwarder.forward(forwarded, relayed.attempts_limit)
         except BurdockmillError as error:
+            if error.ran is Ran.NO and self._world.reach.is_isolated:
+                reason = "it has lost its upstreams"
+                return self._declined(relayed, reason), b""
             return reply_of(error, self._catalog())
         except asyncio.CancelledError:
             raise
@@ -94,35 +103,22 @@
             return reply_of(internal, self._catalog())
         return reply_of(result, self._catalog())
 
-    def _reason_to_decline(
-        self, relayed: RelayedRequest, forwarded: ForwardedRequest
-    ) -> str:
-        """Return why nothing of the request is run here, or an empty string."""
-        world = self._world
-        tables = world.catalog.tables
-        if self._is_stopping():
-            return "it is stopping"
-        if world.reach.is_isolated:
-            return "it reaches no upstream"
-        # An older configuration may allow what the entry's no longer does.
-        if tables is None or tables.version < relayed.version:
-            return "its configuration is older"
+    def _rank_of(self, forwarded: ForwardedRequest) -> int:
         try:
-            rank = self._forwarder.route_of(forwarded).rank
+            return self._forwarder.route_of(forwarded).rank
         except BurdockmillError:
-            # The run reports it with its own error.
-            return ""
-        return "" if admits(rank, self.requests_in_flight) else "it is busy"
+            # The run reports that there is no route.
+            return 0
 
-    def _decline(self, relayed: RelayedRequest, reason: str) -> web.Response:
+    def _declined(self, relayed: RelayedRequest, reason: str) -> RelayReply:
+        """Return the reply that nothing of a request has run here; log why."""
         self.counts["declined"] += 1
         inputs = {"entry": relayed.entry, "in_flight": self.requests_in_flight}
         decision = LogDecision(
             "relay", relayed.request_id, "declined", reason, inputs=inputs
         )
         self._log(decision, self._clock.now_ms())
-        reply = RelayReply(ReplyKind.DECLINED, self._catalog(), detail=reason)
-        return web.Response(body=encode(reply, b""))
+        return RelayReply(ReplyKind.DECLINED, self._catalog(), detail=reason)
 
     def _catalog(self) -> CatalogVersion:
         catalog = self._world.catalog
--- a/burdockmill/systems/reach_system.py
+++ b/burdockmill/systems/reach_system.py
@@ -8,6 +8,8 @@
 from burdockmill.messages.actions import SendToPeer
 from burdockmill.messages.events import PeerReceived
 from burdockmill.messages.reach import (
+    LinksTested,
+    LinkTestWanted,
     ReachChanged,
     ReachQuery,
     ReachReport,
@@ -22,7 +24,7 @@
     from burdockmill.tables.rows import MemberRow
     from burdockmill.world import World
 
-REFRESH = "refresh"
+REFRESH, TESTED = "refresh", "tested"
 # Reports are refreshed at this interval while requests need them.
 REFRESH_MS = 400.0
 # Hosts are not asked more often than this.
@@ -35,27 +37,34 @@
 HOSTS_LIMIT = 12
 KEPT_HOSTS = 6
 SERVICES_LIMIT = 32
-# A host that heard from a service so lately reaches it.
-HEARD_LATELY_MS = 1_500.0
+# A host that heard from upstreams so lately reaches them, however long the asking host
+# has not.
+HEARD_LATELY_MS = 1_000.0
+# Links without fresh evidence are tested for at most this long before a report is sent.
+TEST_LIMIT_MS = 200.0
 
 
 class ReachSystem(System):
     """Query hosts near and far, and answer their queries."""
 
     name = "reach"
-    handles = (ReachWanted, ReachQuery, ReachReport)
+    handles = (ReachWanted, ReachQuery, ReachReport, LinksTested)
 
     def __init__(self) -> None:
         self._wanted_ms_by_service: dict[ServiceId, float] = {}
         self._wanted_ms = -math.inf
+        self._unanswered: list[tuple[HostId, ReachQuery]] = []
 
     def run(self, world: World, now_ms: float) -> list[Action]:
         """Answer queries, record reports, and send the queries that are due."""
         actions: list[Action] = []
         for event in world.drain_events(self.name):
             self._handle(world, event, now_ms, actions)
-        for _ in world.due(self.name).pop_due(now_ms):
-            self._refresh(world, now_ms, actions)
+        for key in world.due(self.name).pop_due(now_ms):
+            if key == REFRESH:
+                self._refresh(world, now_ms, actions)
+            else:
+                self._answer_all(world, now_ms, actions)
         return actions
 
     def _handle(
@@ -65,12 +74,41 @@
             case ReachWanted(services=services):
                 self._want(world, services, now_ms, actions)
             case PeerReceived(message=ReachQuery() as query):
-                report = _report(world, query, now_ms)
-                actions.append(SendToPeer(event.sender, report))
+                self._answer(world, event.sender, query, now_ms, actions)
+            case LinksTested():
+                self._answer_all(world, now_ms, actions)
             case PeerReceived(message=ReachReport() as report):
                 world.peer_reach.record(event.sender, report, now_ms)
                 world.announce(ReachChanged())
 
+    def _answer(
+        self,
+        world: World,
+        host: HostId,
+        query: ReachQuery,
+        now_ms: float,
+        actions: list[Action],
+    ) -> None:
+        """Report what this host reaches, after a test if it has no fresh evidence."""
+        report = _report(world, query, now_ms)
+        is_heard = world.reach.heard_ms >= _fresh_ms(query, now_ms)
+        unheard = tuple(one for one in query.services if one not in report.heard)
+        is_known = is_heard and not unheard
+        if is_known or not _may_become_available(world):
+            actions.append(SendToPeer(host, report))
+        else:
+            if not self._unanswered:
+                world.announce(LinkTestWanted(unheard))
+                world.due(self.name).schedule(TESTED, now_ms + TEST_LIMIT_MS)
+            self._unanswered.append((host, query))
+
+    def _answer_all(self, world: World, now_ms: float, actions: list[Action]) -> None:
+        """Answer the queries that waited for a test."""
+        unanswered, self._unanswered = self._unanswered, []
+        world.due(self.name).cancel(TESTED)
+        for host, query in unanswered:
+            actions.append(SendToPeer(host, _report(world, query, now_ms)))
+
     def _want(
         self,
         world: World,
@@ -99,7 +137,8 @@
     def _ask(self, world: World, now_ms: float, actions: list[Action]) -> None:
         services = tuple(self._wanted_ms_by_service)[-SERVICES_LIMIT:]
         world.peer_reach.asked(services, now_ms)
-        query = ReachQuery(services, now_ms)
+        failing_ms = max(0.0, now_ms - world.reach.failing_since_ms(services))
+        query = ReachQuery(services, failing_ms, now_ms)
         for host in _hosts_to_ask(world, now_ms):
             actions.append(SendToPeer(host, query))
         world.counter_by_name["reach_queries"] += 1
@@ -108,23 +147,31 @@
 
 def _report(world: World, query: ReachQuery, now_ms: float) -> ReachReport:
     reach = world.reach
+    fresh_ms = _fresh_ms(query, now_ms)
     upstreams_by_service = world.catalog.upstreams_by_service
     heard = tuple(
         service
         for service in query.services
         if any(
-            now_ms - reach.heard_of_ms(upstream) <= HEARD_LATELY_MS
-            and not reach.is_failing(upstream)
+            reach.heard_of_ms(upstream) >= fresh_ms and not reach.is_failing(upstream)
             for upstream in upstreams_by_service.get(service, ())
         )
     )
     failing = reach.failing_services(world.catalog.registration_by_upstream.values())
-    is_available = not (
-        reach.is_isolated or world.fleet.leaving or world.catalog.tables is None
-    )
+    is_available = _may_become_available(world) and reach.heard_ms >= fresh_ms
     return ReachReport(query.asked_ms, is_available, heard, tuple(sorted(failing)))
 
 
+def _fresh_ms(query: ReachQuery, now_ms: float) -> float:
+    """Return the time since when an upstream must have been heard."""
+    return now_ms - min(query.failing_ms, HEARD_LATELY_MS)
+
+
+def _may_become_available(world: World) -> bool:
+    is_ready = world.catalog.tables is not None and not world.fleet.leaving
+    return is_ready and not world.reach.is_isolated
+
+
 def _hosts_to_ask(world: World, now_ms: float) -> list[HostId]:
     """Return hosts that reported to be available, and random ones of each domain."""
     chosen = [row.host for row in world.peer_reach.rows(now_ms) if row.is_available]
--- a/burdockmill/tables/peer_reach.py
+++ b/burdockmill/tables/peer_reach.py
@@ -17,6 +17,17 @@
 AVOIDED_MS = 500.0
 
 
+# The key of the question whether any upstream is reached.
+ANY_SERVICE = ""
+
+
+class QuerySeries(NamedTuple):
+    """Store the first and last time of queries repeated in short intervals."""
+
+    first_ms: float
+    last_ms: float
+
+
 class PeerReachRow(NamedTuple):
     """Store a host's report; `round_trip_ms` includes what the host took to answer."""
 
@@ -42,7 +53,7 @@
 
     def __init__(self) -> None:
         self.asked_ms = -math.inf
-        self._asked_ms_by_service: dict[ServiceId, float] = {}
+        self._series_by_service: dict[ServiceId, QuerySeries] = {}
         self._row_by_host: dict[HostId, PeerReachRow] = {}
         self._avoided_until_ms_by_host: dict[HostId, float] = {}
 
@@ -58,25 +69,30 @@
         )
 
     def asked(self, services: Collection[ServiceId], now_ms: float) -> None:
-        """Record that hosts were asked for some services, and if they reach any."""
+        """Record that hosts were asked if they reach upstreams, and some services."""
         self.asked_ms = now_ms
-        self._asked_ms_by_service = {
-            service: asked_ms
-            for service, asked_ms in self._asked_ms_by_service.items()
-            if now_ms - asked_ms <= REPORT_VALID_MS
-        }
-        for service in services:
-            self._asked_ms_by_service[service] = now_ms
-
-    def asked_ms_for(
+        for service in (ANY_SERVICE, *services):
+            first_ms = self.asked_since_ms((service,), now_ms)
+            first_ms = now_ms if first_ms is None else first_ms
+            self._series_by_service[service] = QuerySeries(first_ms, now_ms)
+        for service, series in list(self._series_by_service.items()):
+            if now_ms - series.last_ms > REPORT_VALID_MS:
+                del self._series_by_service[service]
+
+    def asked_since_ms(
         self, services: Collection[ServiceId], now_ms: float
     ) -> float | None:
-        """Return when hosts were last asked for all the services; None if long ago."""
-        asked_ms = min(
-            (self._asked_ms_by_service.get(one, -math.inf) for one in services),
-            default=self.asked_ms,
-        )
-        return None if now_ms - asked_ms > REPORT_VALID_MS else asked_ms
+        """Return since when hosts are asked for all the services, None if they are not.
+
+        Without services, it is since when they are asked if they reach any upstream.
+        """
+        since_ms = -math.inf
+        for service in services or (ANY_SERVICE,):
+            series = self._series_by_service.get(service)
+            if series is None or now_ms - series.last_ms > REPORT_VALID_MS:
+                return None
+            since_ms = max(since_ms, series.first_ms)
+        return since_ms
 
     def has_answer_since(self, asked_ms: float, now_ms: float) -> bool:
         """Return whether any host has answered a query of that time or a later one."""
--- a/burdockmill/tables/upstream_reach.py
+++ b/burdockmill/tables/upstream_reach.py
@@ -25,7 +25,7 @@
 
 
 class FailedReach(NamedTuple):
-    """Record a failure to reach an upstream that has not been heard since."""
+    """Record a failure to reach an upstream; `since_ms` is when the attempt began."""
 
     domain: DomainId
     service: ServiceId
@@ -45,6 +45,8 @@
         self.counts: Counter[str] = Counter()
         self.heard_ms = -math.inf
         self.isolated_since_ms: float | None = None
+        # When the first attempt began that showed the isolation.
+        self._isolating_ms = math.inf
         self._domain = domain
         self._heard_ms_by_upstream: dict[UpstreamId, float] = {}
         self._failed_by_upstream: dict[UpstreamId, FailedReach] = {}
@@ -62,9 +64,9 @@
         return bool(self._failed_by_upstream)
 
     @property
-    def is_suspicious(self) -> bool:
-        """Return whether upstreams have failed and none was heard since."""
-        return bool(self._unheard_by_upstream)
+    def needs_review(self) -> bool:
+        """Return whether upstreams have failed that may show an isolation."""
+        return bool(self._unheard_by_upstream) and not self.is_isolated
 
     @property
     def unheard(self) -> Collection[FailedReach]:
@@ -102,6 +104,22 @@
                 services.discard(one.service)
         return frozenset(services)
 
+    def failing_since_ms(self, services: Collection[ServiceId]) -> float:
+        """Return when upstreams began to fail: any if isolated, else of the services.
+
+        If several do, it is the time of the last one; infinite if none does.
+        """
+        if self.is_isolated:
+            return self._isolating_ms
+        since_ms_by_service: dict[ServiceId, float] = {}
+        for failed in self._failed_by_upstream.values():
+            since_ms = since_ms_by_service.get(failed.service, math.inf)
+            since_ms_by_service[failed.service] = min(since_ms, failed.since_ms)
+        return max(
+            (since_ms_by_service.get(one, math.inf) for one in services),
+            default=math.inf,
+        )
+
     def heard(self, upstream: UpstreamId, now_ms: float) -> bool:
         """Record that an upstream was heard; return whether that ends an isolation."""
         self.heard_ms = now_ms
@@ -117,31 +135,27 @@
         return True
 
     def failed(
-        self,
-        upstream: Registration,
-        kind: ReachFailure,
-        since_ms: float,
-        now_ms: float,
-        usable: Collection[Registration],
-    ) -> bool:
-        """Record a failure; return whether this host is isolated from now on.
-
-        `since_ms` is when the attempt began that failed; `usable` are all upstreams
-        that this host might send to.
+        self, upstream: Registration, kind: ReachFailure, since_ms: float
+    ) -> None:
+        """Record a failure; `since_ms` is when the attempt began that failed."""
+        name = upstream.upstream
+        failed = FailedReach(upstream.domain, upstream.service, kind, since_ms)
+        if kind is ReachFailure.UNCONNECTED and since_ms > self.heard_of_ms(name):
+            self._failed_by_upstream.setdefault(name, failed)
+        if since_ms > self.heard_ms:
+            self._unheard_by_upstream.setdefault(name, failed)
+
+    def review(self, usable: Collection[Registration], now_ms: float) -> bool:
+        """Return whether the failures show from now on that this host is isolated.
+
+        `usable` are all upstreams that this host might send to.
         """
-        failed = FailedReach(upstream.domain, upstream.service, kind, now_ms)
-        is_unheard = since_ms > self.heard_of_ms(upstream.upstream)
-        if kind is ReachFailure.UNCONNECTED and is_unheard:
-            self._failed_by_upstream.setdefault(upstream.upstream, failed)
-        if since_ms <= self.heard_ms or self.is_unheard(upstream.upstream):
-            return False
-        self._unheard_by_upstream[upstream.upstream] = failed
         if self.is_isolated:
             return False
-        domains = [one.domain for one in self._unheard_by_upstream.values()]
-        if not is_isolated(self._domain, domains, [one.domain for one in usable]):
+        if not is_isolated(self._domain, self.unheard, usable, now_ms):
             return False
         self.isolated_since_ms = now_ms
+        self._isolating_ms = min(one.since_ms for one in self.unheard)
         self.counts["isolations"] += 1
         return True
 
