--- a/burdockmill/forwarding/data_path.py
+++ b/burdockmill/forwarding/data_path.py
@@ -22,6 +22,7 @@
 from burdockmill.forwarding.weighted_choice import WeightedChoices
 from burdockmill.messages.events import PeerRevisionReceived
 from burdockmill.messages.reach import LinksTested, ReachWanted
+from burdockmill.messages.store_position import StorePosition
 from burdockmill.policies.connection_share import connection_share, keeps_idle
 from burdockmill.policies.reach_targets import (
     MIN_UNHEARD,
@@ -45,6 +46,7 @@
     from burdockmill.messages.events import CatalogChanged, Event
     from burdockmill.metrics import Metrics
     from burdockmill.names import Address, HostId, ServiceId
+    from burdockmill.relay.messages import CatalogVersion
     from burdockmill.world import World
 
 # Connection limit of an upstream whose service has no bounds in the configuration.
@@ -122,9 +124,7 @@
             clock,
             self._peer_address,
             lambda: world.catalog.version,
-            lambda host, catalog: post(
-                PeerRevisionReceived(host, catalog.revision, catalog.era)
-            ),
+            self._on_peer_catalog,
         )
         self._post = post
         self._domain = settings.domain
@@ -230,6 +230,12 @@
         # Requests take their new ways once the attempt that changed this is recorded.
         asyncio.get_running_loop().call_soon(self.forwarder.reconsider)
 
+    def _on_peer_catalog(self, host: HostId, catalog: CatalogVersion) -> None:
+        """Catch up at once with a host whose newer catalog a client has seen."""
+        position = StorePosition(catalog.era, catalog.revision)
+        if position > self._world.catalog.position:
+            self._post(PeerRevisionReceived(host, catalog.revision, catalog.era))
+
     def _peer_address(self, host: HostId) -> Address | None:
         row = self._world.member_by_host.get(host)
         return row.peer_address if row is not None and row.alive else None
