Count the attempts of a host that took a request over against the request's limit

A second host was tried while the first might still run it, and the first had been granted all attempts of the route. Now what a host was granted counts until it is certain that it ran nothing; only attempts at upstreams that the entry does not reach leave one over. The fleets' check allowed one run too many and is now as strict as the rule for upstreams that are not cut off.

--- a/burdockmill/relay/handover_run.py
+++ b/burdockmill/relay/handover_run.py
@@ -223,7 +223,7 @@
         number = len(self.relays)
         route = self.direct.route
         attempts_limit = max(1, route.attempts_limit - self._runs_so_far())
-        self.relays.append(RelayRow(number, plan.host, now_ms))
+        self.relays.append(RelayRow(number, plan.host, attempts_limit, now_ms))
         if route.is_idempotent and number == 0:
             delay_ms = SECOND_RELAY_GOAL_FRACTION * route.latency_goal_ms
             self._second_relay_ms = now_ms + max(MIN_SECOND_RELAY_MS, delay_ms)
@@ -243,9 +243,7 @@
         if not self._may_have_run:
             return True
         route = self.direct.route
-        # Upstreams that this host does not reach have most likely not run anything.
-        limit = route.attempts_limit + (1 if self._planner.is_isolated else 0)
-        if not route.is_idempotent or self._runs_so_far() >= limit:
+        if not route.is_idempotent or self._runs_so_far() >= route.attempts_limit:
             return False
         services = [
             part.service
@@ -256,10 +254,15 @@
 
     @property
     def _may_have_run(self) -> bool:
-        return self._runs_so_far() > 0
+        return self.relays.possible_runs + self._direct_runs() > 0
 
     def _runs_so_far(self) -> int:
-        return self.relays.possible_runs + self._direct_runs()
+        """Return how many upstreams count for the limit of attempts at each part."""
+        direct = self._direct_runs()
+        if self._planner.is_isolated:
+            # Upstreams that this host does not reach have most likely not run anything.
+            direct = min(direct, self.direct.route.attempts_limit - 1)
+        return self.relays.possible_runs + direct
 
     def _direct_runs(self, but: int | None = None) -> int:
         """Return how many upstreams may run any part, not counting one attempt."""
--- a/burdockmill/relay/relay_rows.py
+++ b/burdockmill/relay/relay_rows.py
@@ -12,11 +12,17 @@
 
 
 class RelayRow:
-    """Describe a request at another host; `outcome` is None while it runs there."""
+    """Describe a request at another host; `outcome` is None while it runs there.
 
-    __slots__ = ("host", "number", "outcome", "sent_ms", "took_ms")
+    `attempts_limit` is how many upstreams it may let run each part.
+    """
 
-    def __init__(self, number: int, host: HostId, sent_ms: float) -> None:
+    __slots__ = ("attempts_limit", "host", "number", "outcome", "sent_ms", "took_ms")
+
+    def __init__(
+        self, number: int, host: HostId, attempts_limit: int, sent_ms: float
+    ) -> None:
+        self.attempts_limit = attempts_limit
         self.number = number
         self.host = host
         self.sent_ms = sent_ms
@@ -44,5 +50,5 @@
 
     @property
     def possible_runs(self) -> int:
-        """Return how many hosts may have run the request, or may still run it."""
-        return sum(row.may_have_run for row in self)
+        """Return how many upstreams may have run each part for these hosts."""
+        return sum(row.attempts_limit for row in self if row.may_have_run)
--- a/tests/builders_cut_fleet.py
+++ b/tests/builders_cut_fleet.py
@@ -25,6 +25,7 @@
 from burdockmill.relay.actions import RelayEnd, RelayOutcome, SendRelay, WithdrawRelay
 from burdockmill.relay.handover_run import HandoverRun
 from burdockmill.relay.relay_planner import RelayPlanner
+from tests.builders_fleet import Links
 from tests.builders_forwarding import (
     REGIONS,
     answered,
@@ -50,6 +51,20 @@
 CUTS = ("hang", "reset", "refuse", "answers_lost")
 
 
+class DomainLinks(Links):
+    """Deliver messages within a failure domain sooner than between two."""
+
+    def __init__(self, domain_by_host, **links):
+        super().__init__(**links)
+        self._domain_by_host = domain_by_host
+
+    def delays_ms(self, rng, sender, receiver):
+        domain = self._domain_by_host
+        path_ms = NEAR_PATH_MS if domain[sender] == domain[receiver] else FAR_PATH_MS
+        delays_ms = super().delays_ms(rng, sender, receiver)
+        return tuple(path_ms + delay_ms for delay_ms in delays_ms)
+
+
 class PlainUpstream:
     """Answer each request after a time, unless it is down."""
 
@@ -82,6 +97,7 @@
         self.open_runs = defaultdict(dict)
         self.attempts = {}
         self.runs = Counter()
+        self.connected_runs = Counter()
         self.hops = []
         self.outcomes = []
         self.relayed_in_flight = Counter()
@@ -92,9 +108,14 @@
         self._numbers = itertools.count()
         registrations = [one for name in services_of(route) for one in replicas(name)]
         upstreams = [PlainUpstream(one) for one in registrations]
-        super().__init__(route, upstreams, per_domain, seed, **links)
+        super().__init__(
+            route, upstreams, per_domain, seed, **{"max_delay_ms": 1.0, **links}
+        )
         self.run(3_000.0)
 
+    def make_links(self, **links):
+        return DomainLinks(self.domain_by_host, **links)
+
     def start(self, host):
         super().start(host)
         world = self.virtual.engine_by_host[host].world
@@ -303,6 +324,8 @@
             return
         name = run.direct.request.request_id.partition("/")[0]
         self.runs[name, upstream.registration.service] += 1
+        if self.cut_by_host.get(host) is None:
+            self.connected_runs[name, upstream.registration.service] += 1
         if self.cut_by_host.get(host) == "answers_lost":
             return
         stamp = f"{upstream.registration.upstream}/{name}"
--- a/tests/builders_limited_fleet.py
+++ b/tests/builders_limited_fleet.py
@@ -55,14 +55,14 @@
         for one in upstreams:
             service = one.registration.service
             self.registrations_by_service[service].append(one.registration)
-        self.links = Links(**{"max_delay_ms": 15.0, **links})
-        self.virtual = FleetOfEngines(seed, Upstreams(), self.links)
-        self.rng = random.Random(seed)
         self.domain_by_host = {
             f"{domain}-{number}": domain
             for domain in DOMAINS
             for number in range(per_domain)
         }
+        self.links = self.make_links(**{"max_delay_ms": 15.0, **links})
+        self.virtual = FleetOfEngines(seed, Upstreams(), self.links)
+        self.rng = random.Random(seed)
         self.virtual.on_action = self._on_action
         self.planner_by_host = {}
         self.gate_by_host = {}
@@ -79,6 +79,9 @@
     def now_ms(self):
         return self.virtual.clock.now_ms()
 
+    def make_links(self, **links):
+        return Links(**links)
+
     def start(self, host):
         """Start a host, or restart it with its state lost."""
         self.incarnation += 1
--- a/tests/test_hosts_without_upstreams.py
+++ b/tests/test_hosts_without_upstreams.py
@@ -45,8 +45,10 @@
 
 
 def assert_no_request_ran_more_often_than_allowed(fleet):
-    limit = fleet.route.attempts_limit + 1 if fleet.route.is_idempotent else 1
-    assert max(fleet.runs.values(), default=0) <= limit
+    limit = fleet.route.attempts_limit if fleet.route.is_idempotent else 1
+    assert max(fleet.connected_runs.values(), default=0) <= limit
+    # One more may have run at upstreams that are cut off from the entry.
+    assert max(fleet.runs.values(), default=0) <= limit + fleet.route.is_idempotent
 
 
 def assert_hops_are_sound(fleet):
