Hedge a search without any answer at one shard first

Now a search of which no part has an answer hedges one shard, and the others 30 ms later unless it has become suspected; with any answer hedges leave as before.

--- a/burdockmill/forwarding/part_run.py
+++ b/burdockmill/forwarding/part_run.py
@@ -12,6 +12,7 @@
         Registration,
         UpstreamAnswer,
     )
+    from burdockmill.forwarding.routes import Route
     from burdockmill.names import ServiceId, UpstreamId
 
 
@@ -82,10 +83,10 @@
             for row in self.attempts
         )
 
-    def may_run_again(self, is_idempotent: bool, attempts_limit: int) -> bool:
+    def may_run_again(self, route: Route) -> bool:
         """Return whether one more upstream may run the part."""
         runs = self.possible_runs
-        return runs == 0 or (is_idempotent and runs < attempts_limit)
+        return runs == 0 or (route.is_idempotent and runs < route.attempts_limit)
 
     @property
     def may_have_arrived(self) -> bool:
--- a/burdockmill/forwarding/request_run.py
+++ b/burdockmill/forwarding/request_run.py
@@ -195,7 +195,7 @@
         if kind is AttemptKind.FIRST and may_copy:
             self._probe(part, choice.upstream, now_ms, actions)
         part.hedge_ms = None
-        if self._may_run_again(part) and choice.alternative_ms is not None:
+        if part.may_run_again(self.route) and choice.alternative_ms is not None:
             remaining_ms = self._goal_end_ms - now_ms
             delay_ms = self._planner.hedge_delay_ms(route, choice, remaining_ms)
             self._hedges.schedule(part, now_ms + delay_ms)
@@ -248,7 +248,10 @@
 
     def _hedge(self, part: PartRun, now_ms: float, actions: list[RunAction]) -> None:
         part.hedge_ms = None
-        if not self._may_run_again(part) or self._is_too_late(now_ms):
+        if not part.may_run_again(self.route) or self._is_too_late(now_ms):
+            return
+        is_unanswered = len(self.parts) > 1 and not self._covered
+        if is_unanswered and self._hedges.must_wait(part, now_ms):
             return
         if not self.suspicion.may_hedge(part.service):
             self._hedges.schedule(part, now_ms + HEDGE_RETRY_MS)
@@ -260,7 +263,7 @@
     def _after_failure(
         self, part: PartRun, now_ms: float, actions: list[RunAction]
     ) -> None:
-        may_try = self._may_run_again(part) and not self._is_too_late(now_ms)
+        may_try = part.may_run_again(self.route) and not self._is_too_late(now_ms)
         may_try = may_try and self.suspicion.may_retry(part.service)
         if may_try:
             choice = self._choose(part, AttemptKind.RETRY, now_ms)
@@ -286,9 +289,6 @@
         part.lost = reason
         self._lost.append(part)
 
-    def _may_run_again(self, part: PartRun) -> bool:
-        return part.may_run_again(self.route.is_idempotent, self.route.attempts_limit)
-
     def _is_too_late(self, now_ms: float) -> bool:
         return now_ms + MIN_ATTEMPT_MS >= self._times.final_ms
 
--- a/tests/test_request_run.py
+++ b/tests/test_request_run.py
@@ -3,6 +3,7 @@
 import pytest
 
 from burdockmill.errors import Ran
+from burdockmill.forwarding.hedge_queue import UNANSWERED_WAIT_MS
 from burdockmill.forwarding.messages import (
     AttemptEnd,
     AttemptKind,
@@ -245,3 +246,22 @@
     run.end(run.attempts_of(3)[0].attempt, NOT_SENT, 1.0)
     assert run.attempts_of(3)[1].kind is AttemptKind.RETRY
     assert budget.remaining("shard-3", 1.0) == before
+
+
+def test_a_search_without_any_answer_hedges_one_part_first():
+    run = Run()
+    due_ms = run.run.next_due_ms
+    run.tick(due_ms)
+    hedges = [one for one in run.sent if one.kind is AttemptKind.HEDGE]
+    assert len(hedges) == 1
+    run.tick(due_ms + UNANSWERED_WAIT_MS / 2)
+    assert sum(one.kind is AttemptKind.HEDGE for one in run.sent) == 1
+    run.tick(due_ms + UNANSWERED_WAIT_MS)
+    assert sum(one.kind is AttemptKind.HEDGE for one in run.sent) == 10
+
+
+def test_a_search_with_an_answer_hedges_all_silent_parts_at_once():
+    run = Run()
+    run.answer_all_but({1, 2, 3}, 5.0)
+    run.tick(run.run.next_due_ms)
+    assert sum(one.kind is AttemptKind.HEDGE for one in run.sent) == 3
