Answer a search here if it can do without the shards that this host does not reach

Read in review: one shard of 42 that accepts no connection from a host would have sent each of its searches to another host, though the answer needs 40. Now a connected host hands a search over only if too few shards remain for an answer; a replay of the planner shows it.

--- a/burdockmill/forwarding/answer_decision.py
+++ b/burdockmill/forwarding/answer_decision.py
@@ -43,9 +43,14 @@
         least_coverage = 1.0 if route.shards is None else route.shards.least_coverage
         self._least_parts = least_shards(len(parts), least_coverage)
 
+    @property
+    def spare_parts(self) -> int:
+        """Return without how many parts there is still an answer."""
+        return len(self._parts) - self._least_parts
+
     def is_unservable(self, lost: int) -> bool:
         """Return whether too few parts remain for an answer."""
-        return len(self._parts) - lost < self._least_parts
+        return lost > self.spare_parts
 
     def decide(
         self, covered: int, lost: Sequence[PartRun], now_ms: float
--- a/burdockmill/forwarding/request_run.py
+++ b/burdockmill/forwarding/request_run.py
@@ -72,7 +72,7 @@
         self._goal_end_ms = (
             request.received_ms + route.latency_goal_ms - request.spent_ms
         )
-        self._answering = AnswerDecision(
+        self.answering = AnswerDecision(
             request, route, self.parts, self._times, planner, merge
         )
 
@@ -123,7 +123,7 @@
             if choice is None:
                 self._mark_lost(part, reason)
         # A request that cannot be served is refused before any part of it runs.
-        if not self._answering.is_unservable(len(self._lost)):
+        if not self.answering.is_unservable(len(self._lost)):
             for part, choice in zip(self.parts, choices, strict=True):
                 self._send(part, AttemptKind.FIRST, choice, now_ms, actions)
         self._complete_if_due(now_ms, actions)
@@ -294,7 +294,7 @@
 
     def _complete_if_due(self, now_ms: float, actions: list[RunAction]) -> None:
         """Answer the request if it is complete, has failed or is out of time."""
-        conclusion = self._answering.decide(self._covered, self._lost, now_ms)
+        conclusion = self.answering.decide(self._covered, self._lost, now_ms)
         if conclusion is not None:
             self.completed = True
             actions.append(conclusion)
--- a/burdockmill/relay/handover_run.py
+++ b/burdockmill/relay/handover_run.py
@@ -11,13 +11,10 @@
     DeadlineExceededError,
     Ran,
 )
+from burdockmill.forwarding import failures
 from burdockmill.forwarding.actions import Conclude, WithdrawAttempt
-from burdockmill.forwarding.failures import (
-    isolated,
-    lost_elsewhere,
-    refused_elsewhere,
-)
 from burdockmill.forwarding.messages import AttemptKind
+from burdockmill.policies.relay_timing import second_host_delay_ms
 from burdockmill.relay.actions import (
     RelayEnd,
     RelayOutcome,
@@ -41,10 +38,6 @@
 RELAYS_LIMIT = 3
 # A request is not handed over with less remaining time than this beyond the round trip.
 MIN_RELAY_MS = 30.0
-# An idempotent request goes to a second host if the first has not replied within this
-# fraction of the latency goal, and some more.
-SECOND_RELAY_GOAL_FRACTION = 0.75
-MIN_SECOND_RELAY_MS = 150.0
 
 
 class HandoverRun:
@@ -158,7 +151,9 @@
         return self._has_started_direct and not self.direct.completed
 
     def _plan(self, now_ms: float) -> RelayPlan:
-        return self._planner.plan(self._services, self.relays.hosts, now_ms)
+        return self._planner.plan(
+            self._services, self.relays.hosts, now_ms, self.direct.answering.spare_parts
+        )
 
     def _start_direct(self, now_ms: float) -> list[HandoverAction]:
         self._has_started_direct = True
@@ -188,10 +183,9 @@
 
     def _may_mend(self, conclusion: Conclude, now_ms: float) -> bool:
         result = conclusion.result
-        is_failure = isinstance(result, BurdockmillError)
-        is_held_back = isinstance(result, CrashingRequestError)
-        may_hand_over = self._may_hand_over and self._has_time(now_ms)
-        return is_failure and not is_held_back and may_hand_over
+        if isinstance(result, CrashingRequestError) or not self._may_hand_over:
+            return False
+        return isinstance(result, BurdockmillError) and self._has_time(now_ms)
 
     def _leaves_direct(self, attempt: int, now_ms: float) -> bool:
         """Return whether a request that has not run anywhere need not try on here."""
@@ -225,8 +219,8 @@
         attempts_limit = max(1, route.attempts_limit - self._runs_so_far())
         self.relays.append(RelayRow(number, plan.host, attempts_limit, now_ms))
         if route.is_idempotent and number == 0:
-            delay_ms = SECOND_RELAY_GOAL_FRACTION * route.latency_goal_ms
-            self._second_relay_ms = now_ms + max(MIN_SECOND_RELAY_MS, delay_ms)
+            delay_ms = second_host_delay_ms(route.latency_goal_ms)
+            self._second_relay_ms = now_ms + delay_ms
         return [
             SendRelay(
                 number,
@@ -278,7 +272,7 @@
         if not isinstance(result, BurdockmillError):
             self.direct.suspicion.answered_elsewhere(now_ms)
         elif result.ran is Ran.NO and self._may_have_run:
-            refused = Conclude(refused_elsewhere(result), "refused elsewhere")
+            refused = Conclude(failures.refused_elsewhere(result), "refused elsewhere")
             return self._conclude(self._fallback or refused)
         return self._conclude(Conclude(result, f"by way of {row.host}"))
 
@@ -296,8 +290,10 @@
     def _refuse(self) -> list[HandoverAction]:
         """Refuse the request, or tell that its answer is lost if it may have run."""
         if self._may_have_run:
-            return self._conclude(Conclude(lost_elsewhere(), "lost at another host"))
-        error = isolated(self.direct.request.request_id)
+            return self._conclude(
+                Conclude(failures.lost_elsewhere(), "lost at another host")
+            )
+        error = failures.isolated(self.direct.request.request_id)
         return self._conclude(Conclude(error, "no host reaches an upstream"))
 
     def _give_up(self) -> list[HandoverAction]:
--- a/burdockmill/relay/relay_planner.py
+++ b/burdockmill/relay/relay_planner.py
@@ -76,10 +76,14 @@
         services: Collection[ServiceId],
         excluded: Collection[HostId],
         now_ms: float,
+        spare_services: int = 0,
     ) -> RelayPlan:
-        """Return the way of a request for some services; not to `excluded` hosts."""
+        """Return the way of a request for some services; not to `excluded` hosts.
+
+        It can be answered without as many as `spare_services`.
+        """
         unreached = self._unreached(services)
-        if not unreached:
+        if not unreached or (not self.is_isolated and len(unreached) <= spare_services):
             return RelayPlan(Way.HERE)
         best = self._best_host(unreached, excluded, now_ms)
         if best is not None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -309,3 +309,11 @@
     assert full == "it is busy"
     stopping = relay_admission.reason_to_decline(world, True, 7, 0, 0)
     assert stopping == "it is stopping"
+
+
+def test_a_search_that_can_do_without_a_service_is_not_handed_over():
+    planner, _ = make_relay_planner(is_isolated=False)
+    planner.peers.record("e1", available(0.0, heard=["c"]), 2.0)
+    services = ["a", "b", "c"]
+    assert planner.plan(services, (), 3.0, spare_services=1).way is Way.HERE
+    assert planner.plan(services, (), 3.0).way is Way.RELAY
