--- a/burdockmill/relay/handover_run.py
+++ b/burdockmill/relay/handover_run.py
@@ -14,7 +14,6 @@
 from burdockmill.forwarding import failures
 from burdockmill.forwarding.actions import Conclude, WithdrawAttempt
 from burdockmill.forwarding.messages import AttemptKind
-from burdockmill.policies.relay_timing import second_host_delay_ms
 from burdockmill.relay.actions import (
     RelayEnd,
     RelayOutcome,
@@ -57,7 +56,6 @@
         self._has_started_direct = False
         self._fallback: Conclude | None = None
         self._waits_until_ms: float | None = None
-        self._second_relay_ms = math.inf
 
     @property
     def next_due_ms(self) -> float | None:
@@ -69,7 +67,7 @@
             due_ms = min(due_ms, self.direct.next_due_ms or math.inf)
         if self._waits_until_ms is not None:
             due_ms = min(due_ms, self._waits_until_ms)
-        return min(due_ms, self._second_relay_ms)
+        return due_ms
 
     def start(self, now_ms: float) -> list[HandoverAction]:
         """Send the request to upstreams or to another host, wait, or refuse it."""
@@ -107,11 +105,6 @@
         if self._waits_until_ms is not None and now_ms >= self._waits_until_ms:
             self._waits_until_ms = None
             return self._go_on(now_ms, may_wait=False)
-        if now_ms >= self._second_relay_ms:
-            self._second_relay_ms = math.inf
-            plan = self._plan(now_ms)
-            if plan.way is Way.RELAY and self._pay(now_ms):
-                return self._hand_over(plan, now_ms)
         return []
 
     def reconsider(self, now_ms: float) -> list[HandoverAction]:
@@ -141,8 +134,6 @@
             return []
         if outcome.end is RelayEnd.ANSWERED:
             return self._conclude_relayed(row, now_ms)
-        if self.relays.open:
-            return []
         return self._go_on(now_ms, may_wait=False)
 
     @property
@@ -218,9 +209,6 @@
         route = self.direct.route
         attempts_limit = max(1, route.attempts_limit - self._runs_so_far())
         self.relays.append(RelayRow(number, plan.host, attempts_limit, now_ms))
-        if route.is_idempotent and number == 0:
-            delay_ms = second_host_delay_ms(route.latency_goal_ms)
-            self._second_relay_ms = now_ms + delay_ms
         return [
             SendRelay(
                 number,
