--- a/burdockmill/forwarding/reach_monitor.py
+++ b/burdockmill/forwarding/reach_monitor.py
@@ -29,7 +29,6 @@
         AttemptEnd.ANSWERED,
         AttemptEnd.UPSTREAM_ERROR,
         AttemptEnd.NOT_RUN,
-        AttemptEnd.WRONG_INSTANCE,
     }
 )
 
@@ -74,7 +73,10 @@
         """Record how an attempt ended; `was_needed` is false if it was withdrawn."""
         upstream = attempt.upstream
         end = outcome.end
-        if end in HEARD_ENDS or (
+        if end is AttemptEnd.WRONG_INSTANCE:
+            # Another upstream replied at its address.
+            self.heard(None, now_ms)
+        elif end in HEARD_ENDS or (
             end is AttemptEnd.WRONG_ANSWER and not outcome.is_cut_off
         ):
             self.heard(upstream, now_ms)
@@ -92,11 +94,12 @@
                 self._failed(attempt, ReachFailure.SILENT, now_ms)
         self._review(now_ms)
 
-    def heard(self, upstream: Registration, now_ms: float) -> None:
-        """Record that an upstream replied or accepted a connection."""
+    def heard(self, upstream: Registration | None, now_ms: float) -> None:
+        """Record that an upstream replied or accepted a connection; None if unknown."""
+        name = None if upstream is None else upstream.upstream
         isolated_ms = now_ms - (self.reach.isolated_since_ms or now_ms)
-        if self.reach.heard(upstream.upstream, now_ms):
-            inputs = {"heard": upstream.upstream, "isolated_ms": round(isolated_ms)}
+        if self.reach.heard(name, now_ms):
+            inputs = {"heard": name, "isolated_ms": round(isolated_ms)}
             reason = "an upstream responds again"
             decision = LogDecision("reach", "", "connected", reason, inputs=inputs)
             self._log(decision, now_ms)
--- a/burdockmill/relay/relay_planner.py
+++ b/burdockmill/relay/relay_planner.py
@@ -93,8 +93,8 @@
         if asked_ms is None:
             self._want(wanted)
             return RelayPlan(Way.WAIT, until_ms=now_ms + REPLY_WAIT_MS)
-        is_waiting = now_ms < asked_ms + REPLY_WAIT_MS
-        if is_waiting and not self.peers.has_answer_since(asked_ms, now_ms):
+        is_early = now_ms < asked_ms + REPLY_WAIT_MS
+        if is_early and self.peers.awaits_answers:
             return RelayPlan(Way.WAIT, until_ms=asked_ms + REPLY_WAIT_MS)
         self._want(wanted)
         return RelayPlan(Way.NOWHERE if self.is_isolated else Way.HERE)
--- a/burdockmill/systems/reach_system.py
+++ b/burdockmill/systems/reach_system.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from burdockmill.messages.actions import SendToPeer
-from burdockmill.messages.events import PeerReceived
+from burdockmill.messages.events import PeerReceived, PeerUnreachable
 from burdockmill.messages.reach import (
     LinksTested,
     LinkTestWanted,
@@ -48,7 +48,7 @@
     """Query hosts near and far, and answer their queries."""
 
     name = "reach"
-    handles = (ReachWanted, ReachQuery, ReachReport, LinksTested)
+    handles = (ReachWanted, ReachQuery, ReachReport, LinksTested, PeerUnreachable)
 
     def __init__(self) -> None:
         self._wanted_ms_by_service: dict[ServiceId, float] = {}
@@ -80,6 +80,9 @@
             case PeerReceived(message=ReachReport() as report):
                 world.peer_reach.record(event.sender, report, now_ms)
                 world.announce(ReachChanged())
+            case PeerUnreachable(message=ReachQuery()):
+                world.peer_reach.is_unreachable(event.host)
+                world.announce(ReachChanged())
 
     def _answer(
         self,
@@ -135,14 +138,20 @@
             self._ask(world, now_ms, actions)
 
     def _ask(self, world: World, now_ms: float, actions: list[Action]) -> None:
-        services = tuple(self._wanted_ms_by_service)[-SERVICES_LIMIT:]
-        world.peer_reach.asked(services, now_ms)
+        world.due(self.name).schedule(REFRESH, now_ms + REFRESH_MS)
+        registered = world.catalog.registration_by_upstream.values()
+        failing = world.reach.failing_services(registered)
+        services = tuple(one for one in self._wanted_ms_by_service if one in failing)
+        services = services[-SERVICES_LIMIT:]
+        if not services and not world.reach.is_isolated:
+            return
+        hosts = _hosts_to_ask(world, now_ms)
+        world.peer_reach.asked(services, hosts, now_ms)
         failing_ms = max(0.0, now_ms - world.reach.failing_since_ms(services))
         query = ReachQuery(services, failing_ms, now_ms)
-        for host in _hosts_to_ask(world, now_ms):
+        for host in hosts:
             actions.append(SendToPeer(host, query))
         world.counter_by_name["reach_queries"] += 1
-        world.due(self.name).schedule(REFRESH, now_ms + REFRESH_MS)
 
 
 def _report(world: World, query: ReachQuery, now_ms: float) -> ReachReport:
--- a/burdockmill/tables/peer_reach.py
+++ b/burdockmill/tables/peer_reach.py
@@ -56,9 +56,11 @@
         self._series_by_service: dict[ServiceId, QuerySeries] = {}
         self._row_by_host: dict[HostId, PeerReachRow] = {}
         self._avoided_until_ms_by_host: dict[HostId, float] = {}
+        self._awaited_hosts: set[HostId] = set()
 
     def record(self, host: HostId, report: ReachReport, now_ms: float) -> None:
         """Record a host's answer to a query."""
+        self._awaited_hosts.discard(host)
         self._row_by_host[host] = PeerReachRow(
             host,
             report.is_available,
@@ -68,9 +70,21 @@
             now_ms,
         )
 
-    def asked(self, services: Collection[ServiceId], now_ms: float) -> None:
+    @property
+    def awaits_answers(self) -> bool:
+        """Return whether hosts that were asked first have not answered yet."""
+        return bool(self._awaited_hosts)
+
+    def asked(
+        self,
+        services: Collection[ServiceId],
+        hosts: Collection[HostId],
+        now_ms: float,
+    ) -> None:
         """Record that hosts were asked if they reach upstreams, and some services."""
         self.asked_ms = now_ms
+        if self.asked_since_ms(services, now_ms) is None:
+            self._awaited_hosts = set(hosts)
         for service in (ANY_SERVICE, *services):
             first_ms = self.asked_since_ms((service,), now_ms)
             first_ms = now_ms if first_ms is None else first_ms
@@ -94,9 +108,10 @@
             since_ms = max(since_ms, series.first_ms)
         return since_ms
 
-    def has_answer_since(self, asked_ms: float, now_ms: float) -> bool:
-        """Return whether any host has answered a query of that time or a later one."""
-        return any(row.received_ms >= asked_ms for row in self.rows(now_ms))
+    def is_unreachable(self, host: HostId) -> None:
+        """Record that a query did not reach a host."""
+        self._awaited_hosts.discard(host)
+        self._row_by_host.pop(host, None)
 
     def avoid(self, host: HostId, now_ms: float) -> None:
         """Use a host no more for a while, since it did not serve a request."""
--- a/burdockmill/tables/upstream_reach.py
+++ b/burdockmill/tables/upstream_reach.py
@@ -120,11 +120,15 @@
             default=math.inf,
         )
 
-    def heard(self, upstream: UpstreamId, now_ms: float) -> bool:
-        """Record that an upstream was heard; return whether that ends an isolation."""
+    def heard(self, upstream: UpstreamId | None, now_ms: float) -> bool:
+        """Record that an upstream was heard; return whether that ends an isolation.
+
+        None stands for one that is not known.
+        """
         self.heard_ms = now_ms
-        self._heard_ms_by_upstream[upstream] = now_ms
-        self._failed_by_upstream.pop(upstream, None)
+        if upstream is not None:
+            self._heard_ms_by_upstream[upstream] = now_ms
+            self._failed_by_upstream.pop(upstream, None)
         self._unheard_by_upstream.clear()
         if self.isolated_since_ms is None:
             return False
--- a/tests/test_handover_run.py
+++ b/tests/test_handover_run.py
@@ -64,7 +64,7 @@
         self.reach.isolated_since_ms = now_ms
 
     def report(self, now_ms, is_available=True, heard=()):
-        self.peers.asked((), now_ms)
+        self.peers.asked((), self.hosts, now_ms)
         for number, host in enumerate(self.hosts):
             report = ReachReport(now_ms - number, is_available, heard, ())
             self.peers.record(host, report, now_ms)
@@ -230,7 +230,7 @@
     for attempt in range(3):
         run.ended(attempt, NOT_SENT, 10.0)
     assert not run.of(Conclude)
-    run.peers.asked(["payroll"], 10.0)
+    run.peers.asked(["payroll"], run.hosts, 10.0)
     run.report(12.0, heard=("payroll",))
     run.reconsider(12.0)
     assert len(run.of(SendRelay)) == 1
@@ -243,7 +243,7 @@
     run.start(1.0)
     for attempt in range(3):
         run.ended(attempt, NOT_SENT, 10.0)
-    run.peers.asked(["payroll"], 10.0)
+    run.peers.asked(["payroll"], run.hosts, 10.0)
     run.report(12.0)
     run.reconsider(12.0)
     assert not run.of(SendRelay)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -289,7 +289,7 @@
     assert planner.plan(["d"], (), 1.0).way is Way.HERE
     assert planner.plan(["c"], (), 1.0).way is Way.WAIT
     assert wanted == [("c",)]
-    planner.peers.asked(["c"], 1.0)
+    planner.peers.asked(["c"], ["e1"], 1.0)
     planner.peers.record("e1", available(1.0), 2.0)
     assert planner.plan(["c"], (), 3.0).way is Way.HERE
     planner.peers.record("e2", available(1.0, heard=["c"]), 4.0)
@@ -317,3 +317,19 @@
     services = ["a", "b", "c"]
     assert planner.plan(services, (), 3.0, spare_services=1).way is Way.HERE
     assert planner.plan(services, (), 3.0).way is Way.RELAY
+
+
+def test_a_request_waits_for_far_hosts_while_near_ones_reach_nothing_either():
+    planner, _ = make_relay_planner()
+    planner.peers.asked((), ["near", "far"], 0.0)
+    planner.peers.record("near", ReachReport(0.0, False, (), ()), 1.0)
+    assert planner.plan(["c"], (), 2.0).way is Way.WAIT
+    planner.peers.record("far", available(0.0), 25.0)
+    assert planner.plan(["c"], (), 26.0).host == "far"
+
+
+def test_nobody_is_waited_for_who_cannot_be_reached():
+    planner, _ = make_relay_planner()
+    planner.peers.asked((), ["e1"], 0.0)
+    planner.peers.is_unreachable("e1")
+    assert planner.plan(["c"], (), 2.0).way is Way.NOWHERE
