--- a/tests/test_handover_run.py
+++ b/tests/test_handover_run.py
@@ -37,11 +37,12 @@
 class Handover:
     """Step through one request, whose host is isolated from the start or later."""
 
-    def __init__(self, route=None, is_isolated=True, hosts=("e1", "e2", "e3", "e4")):
+    hosts = ("e1", "e2", "e3", "e4")
+
+    def __init__(self, route=None, is_isolated=True, request=None):
         self.route = route or make_single_route()
         self.reach = UpstreamReach("waw-a")
         self.peers = PeerReach()
-        self.hosts = hosts
         self.wanted = []
         if is_isolated:
             self.isolate()
@@ -51,7 +52,7 @@
             self.reach, self.peers, replicas_of, self.wanted.append, planner.budget
         )
         direct = RequestRun(
-            make_request(),
+            request or make_request(),
             self.route,
             services_of(self.route),
             planner,
@@ -263,3 +264,14 @@
     run.tick(run.run.next_due_ms)
     assert run.result.kind == "deadline_exceeded"
     assert [one.relay for one in run.of(WithdrawRelay)] == [0]
+
+
+def test_a_request_that_was_handed_over_is_not_handed_on():
+    run = Handover(request=make_request(entry="e9"))
+    run.report(0.0)
+    run.start()
+    assert not run.of(SendRelay)
+    for attempt in range(3):
+        run.ended(attempt, NOT_SENT, 10.0)
+    assert not run.of(SendRelay)
+    assert run.result.ran is Ran.NO
