Play a cut of all hosts but one, and list the kind that is served too little

The replays had most of all hosts and all domains but one, not all hosts but one. Cause traced: a host asks two random hosts of each other domain, though a small fleet leaves room for all, and missed the only one left four times. The three cases are listed as red with their bound as it was; no code changed.

--- a/tests/test_hosts_without_upstreams.py
+++ b/tests/test_hosts_without_upstreams.py
@@ -1,5 +1,6 @@
 """Replay cuts between hosts and upstreams, and crashes of upstreams, on fleets."""
 
+import itertools
 import math
 from collections import Counter
 
@@ -35,6 +36,7 @@
         "a whole domain": zone,
         "most of all": [one for two in by_domain.values() for one in two[:-1]],
         "all domains but one": [one for one in hosts if one not in zone],
+        "all but one": hosts[:-1],
     }[cut]
 
 
@@ -56,8 +58,14 @@
     assert all(hop.deadline_ms <= hop.entry_deadline_ms for hop in fleet.hops)
 
 
-@pytest.mark.parametrize("how", CUTS)
-@pytest.mark.parametrize("cut", ["one", "a whole domain", "most of all"])
+@pytest.mark.parametrize(
+    ("cut", "how"),
+    [
+        *itertools.product(["one", "a whole domain", "most of all"], CUTS),
+        *(("all but one", how) for how in CUTS if how != "reset"),
+        pytest.param("all but one", "reset", marks=pytest.mark.known_red),
+    ],
+)
 @pytest.mark.parametrize("kind", ROUTES)
 def test_clients_of_cut_hosts_are_served_as_others_are(kind, cut, how):
     fleet = CutFleet(ROUTES[kind])
