Hand requests over that find no connection while kept ones carry others

Callers of hosts to which upstreams refuse new connections got 503 or 502 for 5 to 10 % of first tries while other hosts could serve them, and so did callers of isolated hosts that handed over to such a host.

Cause, in the logs of the hosts: a service is out of reach when all its upstreams accept no connection and none was heard since. Answers over kept connections are heard all the time, so the requests beyond them were refused here, and other hosts were told that the service is heard from.

A refused connection is now noted for a second beside what is heard. A request to which every upstream that it tried of a service refused a connection may go to a host that heard from that service and was not refused itself; without such a host it fails as before. An isolated host prefers hosts that are not refused. Connections that are only late do not count, so that busy hosts send nothing around.

--- a/burdockmill/clients/forwarding_client.py
+++ b/burdockmill/clients/forwarding_client.py
@@ -226,9 +226,10 @@
     if error is None:
         return task.result()
     detail = f"{type(error).__name__}: {error}"
-    if not attempt.written:
-        return AttemptOutcome(AttemptEnd.NOT_SENT, detail=detail)
     is_cut_off = isinstance(error, CUT_OFF_ERRORS)
+    if not attempt.written:
+        end = AttemptEnd.NOT_SENT
+        return AttemptOutcome(end, detail=detail, is_refused=is_cut_off)
     if isinstance(error, ClientPayloadError | WrongAnswerError):
         end = AttemptEnd.WRONG_ANSWER
         return AttemptOutcome(end, detail=detail, is_cut_off=is_cut_off)
--- a/burdockmill/forwarding/messages.py
+++ b/burdockmill/forwarding/messages.py
@@ -115,7 +115,8 @@
     """Describe how an attempt ended; `detail` is for logs.
 
     `connecting_ms` is the time until the attempt had a connection, in milliseconds.
-    `is_cut_off` is whether the connection ended before an answer was complete.
+    `is_cut_off` is whether the connection ended before an answer was complete,
+    `is_refused` whether the upstream refused a connection.
     `is_leaving` is whether the upstream said that it is leaving. `pause_ms` is for how
     long it wants no requests of this host, None if it did not say. `limit_per_s` is the
     rate that it takes from all hosts together: infinite if its answer names none, None
@@ -128,6 +129,7 @@
     detail: str = ""
     connecting_ms: float = 0.0
     is_cut_off: bool = False
+    is_refused: bool = False
     is_leaving: bool = False
     pause_ms: float | None = None
     limit_per_s: float | None = None
--- a/burdockmill/forwarding/part_run.py
+++ b/burdockmill/forwarding/part_run.py
@@ -96,6 +96,12 @@
             for row in self.attempts
         )
 
+    @property
+    def is_refused(self) -> bool:
+        """Return whether every upstream that was tried refused a connection."""
+        outcomes = [row.outcome for row in self.attempts]
+        return bool(outcomes) and all(one and one.is_refused for one in outcomes)
+
     @property
     def in_flight(self) -> list[AttemptRow]:
         """Return the attempts in flight."""
--- a/burdockmill/forwarding/reach_monitor.py
+++ b/burdockmill/forwarding/reach_monitor.py
@@ -83,6 +83,8 @@
         elif outcome.is_cut_off:
             self._failed(attempt, ReachFailure.CUT_OFF, now_ms)
         elif end is AttemptEnd.NOT_SENT and was_needed:
+            if outcome.is_refused:
+                self.reach.refused(upstream.upstream, now_ms)
             self.unconnected(attempt, now_ms)
         elif end is AttemptEnd.SILENT and self._is_silent(attempt, now_ms):
             self._failed(attempt, ReachFailure.SILENT, now_ms)
--- a/burdockmill/messages/reach.py
+++ b/burdockmill/messages/reach.py
@@ -23,14 +23,16 @@
     """State whether the sender runs requests of others, and what it reaches.
 
     `heard` are the services of the query that it heard from as lately as asked for,
-    `failing` all those of which every upstream fails to respond to it. A sender that is
-    isolated itself adds `referrals`: hosts that reported to it to be available.
+    `failing` all those of which every upstream fails to respond to it, `refusing` those
+    of which some refuse new connections. A sender that is isolated itself adds
+    `referrals`: hosts that reported to it to be available.
     """
 
     asked_ms: float
     is_available: bool
     heard: tuple[ServiceId, ...]
     failing: tuple[ServiceId, ...]
+    refusing: tuple[ServiceId, ...] = ()
     referrals: tuple[HostId, ...] = ()
 
 
--- a/burdockmill/relay/handover_run.py
+++ b/burdockmill/relay/handover_run.py
@@ -142,8 +142,13 @@
         return self._has_started_direct and not self.direct.completed
 
     def _plan(self, now_ms: float) -> RelayPlan:
+        refused = [part.service for part in self.direct.parts if part.is_refused]
         return self._planner.plan(
-            self._services, self.relays.hosts, now_ms, self.direct.answering.spare_parts
+            self._services,
+            self.relays.hosts,
+            now_ms,
+            self.direct.answering.spare_parts,
+            refused,
         )
 
     def _start_direct(self, now_ms: float) -> list[HandoverAction]:
--- a/burdockmill/relay/relay_planner.py
+++ b/burdockmill/relay/relay_planner.py
@@ -24,6 +24,8 @@
 REPLY_WAIT_MS = 250.0
 # Each request in flight at a host makes it less preferable by this much.
 IN_FLIGHT_MS = 8.0
+# A host that is refused connections may not serve what it takes over.
+REFUSING_COST_MS = 100.0
 
 
 class Way(StrEnum):
@@ -77,12 +79,15 @@
         excluded: Collection[HostId],
         now_ms: float,
         spare_services: int = 0,
+        refused: Collection[ServiceId] = (),
     ) -> RelayPlan:
         """Return the way of a request for some services; not to `excluded` hosts.
 
-        It can be answered without as many as `spare_services`.
+        It can be answered without as many as `spare_services`. It was refused
+        connections to all upstreams that it tried of the `refused` ones.
         """
         unreached = self._unreached(services)
+        unreached += tuple(one for one in refused if one not in unreached)
         if not unreached or (not self.is_isolated and len(unreached) <= spare_services):
             return RelayPlan(Way.HERE)
         best = self._best_host(unreached, excluded, now_ms)
@@ -127,7 +132,8 @@
             for row in self.peers.usable_rows(now_ms)
             if row.host not in excluded and row.reaches(services, needs_proof)
         )
-        return min(rows, key=self._cost_ms, default=None)
+        return min(rows, key=lambda row: self._cost_ms(row, services), default=None)
 
-    def _cost_ms(self, row: PeerReachRow) -> float:
-        return row.round_trip_ms + IN_FLIGHT_MS * self.in_flight_by_host[row.host]
+    def _cost_ms(self, row: PeerReachRow, services: Collection[ServiceId]) -> float:
+        cost_ms = row.round_trip_ms + IN_FLIGHT_MS * self.in_flight_by_host[row.host]
+        return cost_ms + REFUSING_COST_MS * (not row.refusing.isdisjoint(services))
--- a/burdockmill/systems/reach_system.py
+++ b/burdockmill/systems/reach_system.py
@@ -110,7 +110,8 @@
     ) -> None:
         """Record a report; ask the hosts it refers to soon if none is available yet."""
         peers = world.peer_reach
-        peers.record(host, report, now_ms)
+        referrals = tuple(one for one in report.referrals if one != world.host)
+        peers.record(host, report._replace(referrals=referrals), now_ms)
         world.announce(ReachChanged())
         if peers.referred_hosts(now_ms) and not _available_hosts(world, now_ms):
             due_ms = max(now_ms, peers.asked_ms + MIN_INTERVAL_MS)
@@ -152,13 +153,22 @@
         world.due(self.name).schedule(REFRESH, now_ms + REFRESH_MS)
         registered = world.catalog.registration_by_upstream.values()
         failing = world.reach.failing_services(registered)
-        services = tuple(one for one in self._wanted_ms_by_service if one in failing)
+        refusing = world.reach.refusing_services(registered, now_ms)
+        asked_for = failing | refusing.keys()
+        services = tuple(one for one in self._wanted_ms_by_service if one in asked_for)
         services = services[-SERVICES_LIMIT:]
         if not services and not world.reach.is_isolated:
             return
         hosts = _hosts_to_ask(world, now_ms)
         world.peer_reach.asked(services, hosts, now_ms)
-        failing_ms = max(0.0, now_ms - world.reach.failing_since_ms(services))
+        reach = world.reach
+        since_ms = reach.failing_since_ms(services)
+        if not reach.is_isolated:
+            since_ms = max(
+                reach.failing_since_ms([one]) if one in failing else refusing[one]
+                for one in services
+            )
+        failing_ms = max(0.0, now_ms - since_ms)
         query = ReachQuery(services, failing_ms, now_ms)
         for host in hosts:
             actions.append(SendToPeer(host, query))
@@ -173,17 +183,22 @@
         service
         for service in query.services
         if any(
-            reach.heard_of_ms(upstream) >= fresh_ms and not reach.is_failing(upstream)
+            reach.heard_of_ms(upstream) >= fresh_ms
+            and not reach.is_failing(upstream)
+            and not reach.is_refusing(upstream, now_ms)
             for upstream in upstreams_by_service.get(service, ())
         )
     )
-    failing = reach.failing_services(world.catalog.registration_by_upstream.values())
+    registered = world.catalog.registration_by_upstream.values()
+    failing = tuple(sorted(reach.failing_services(registered)))
+    refusing = tuple(sorted(reach.refusing_services(registered, now_ms)))
     is_available = _may_become_available(world) and reach.heard_ms >= fresh_ms
     referrals: tuple[HostId, ...] = ()
     if reach.is_isolated:
         referrals = tuple(_available_hosts(world, now_ms)[:REFERRALS_IN_REPORT])
-    failing_services = tuple(sorted(failing))
-    return ReachReport(query.asked_ms, is_available, heard, failing_services, referrals)
+    return ReachReport(
+        query.asked_ms, is_available, heard, failing, refusing, referrals
+    )
 
 
 def _fresh_ms(query: ReachQuery, now_ms: float) -> float:
--- a/burdockmill/tables/peer_reach.py
+++ b/burdockmill/tables/peer_reach.py
@@ -38,6 +38,7 @@
     is_available: bool
     heard: frozenset[ServiceId]
     failing: frozenset[ServiceId]
+    refusing: frozenset[ServiceId]
     round_trip_ms: float
     received_ms: float
 
@@ -74,6 +75,7 @@
             report.is_available,
             frozenset(report.heard),
             frozenset(report.failing),
+            frozenset(report.refusing),
             max(0.0, now_ms - report.asked_ms),
             now_ms,
         )
--- a/burdockmill/tables/upstream_reach.py
+++ b/burdockmill/tables/upstream_reach.py
@@ -24,6 +24,17 @@
     CUT_OFF = "cut_off"
 
 
+# An upstream counts as refusing for this long after it refused a connection.
+REFUSING_MS = 1_000.0
+
+
+class RefusedSeries(NamedTuple):
+    """Store the first and last time of refusals repeated in short intervals."""
+
+    first_ms: float
+    last_ms: float
+
+
 class FailedReach(NamedTuple):
     """Record a failure to reach an upstream; `since_ms` is when the attempt began."""
 
@@ -50,6 +61,8 @@
         self._domain = domain
         self._heard_ms_by_upstream: dict[UpstreamId, float] = {}
         self._failed_by_upstream: dict[UpstreamId, FailedReach] = {}
+        # Kept connections may carry requests while new ones are refused.
+        self._refused_by_upstream: dict[UpstreamId, RefusedSeries] = {}
         # The failures since any upstream was heard.
         self._unheard_by_upstream: dict[UpstreamId, FailedReach] = {}
 
@@ -81,6 +94,39 @@
         """Return whether an upstream accepted no connection since it was heard."""
         return upstream in self._failed_by_upstream
 
+    def refused(self, upstream: UpstreamId, now_ms: float) -> None:
+        """Record that an upstream refused a connection."""
+        since_ms = self._refusing_since_ms(upstream, now_ms)
+        first_ms = now_ms if since_ms is None else since_ms
+        self._refused_by_upstream[upstream] = RefusedSeries(first_ms, now_ms)
+
+    def is_refusing(self, upstream: UpstreamId, now_ms: float) -> bool:
+        """Return whether an upstream refused a connection lately."""
+        return self._refusing_since_ms(upstream, now_ms) is not None
+
+    def refusing_services(
+        self, registered: Iterable[Registration], now_ms: float
+    ) -> dict[ServiceId, float]:
+        """Return the services of which an upstream refuses, each with since when."""
+        if not self._refused_by_upstream:
+            return {}
+        since_ms_by_service: dict[ServiceId, float] = {}
+        for one in registered:
+            since_ms = self._refusing_since_ms(one.upstream, now_ms)
+            if since_ms is not None:
+                earlier_ms = since_ms_by_service.get(one.service, math.inf)
+                since_ms_by_service[one.service] = min(since_ms, earlier_ms)
+        return since_ms_by_service
+
+    def _refusing_since_ms(self, upstream: UpstreamId, now_ms: float) -> float | None:
+        series = self._refused_by_upstream.get(upstream)
+        if series is None:
+            return None
+        if now_ms - series.last_ms <= REFUSING_MS:
+            return series.first_ms
+        del self._refused_by_upstream[upstream]
+        return None
+
     def heard_of_ms(self, upstream: UpstreamId) -> float:
         """Return when an upstream was last heard, negative infinity if never."""
         return self._heard_ms_by_upstream.get(upstream, -math.inf)
@@ -168,3 +214,4 @@
         self._heard_ms_by_upstream.pop(upstream, None)
         self._failed_by_upstream.pop(upstream, None)
         self._unheard_by_upstream.pop(upstream, None)
+        self._refused_by_upstream.pop(upstream, None)
--- a/tests/builders_cut_fleet.py
+++ b/tests/builders_cut_fleet.py
@@ -88,12 +88,21 @@
 class CutFleet(LimitedFleet):
     """Run hosts whose links to all upstreams can be cut, each in its own way."""
 
-    def __init__(self, route, per_domain=3, seed=1, replicas=replicas_of, **links):
+    def __init__(
+        self,
+        route,
+        per_domain=3,
+        seed=1,
+        replicas=replicas_of,
+        kept_connections=KEPT_CONNECTIONS,
+        **links,
+    ):
         self.monitor_by_host = {}
         self.relay_planner_by_host = {}
         self.cut_by_host = {}
         self.stopping = set()
-        self.kept = defaultdict(lambda: KEPT_CONNECTIONS)
+        self.kept_connections = kept_connections
+        self.kept = defaultdict(lambda: kept_connections)
         self.open_runs = defaultdict(dict)
         self.attempts = {}
         self.runs = Counter()
@@ -307,7 +316,7 @@
             refused = AttemptOutcome(AttemptEnd.NOT_SENT)
             self._at(self.now_ms + CONNECT_TIMEOUT_MS, self._finish, key, refused)
         elif cut is not None or upstream.down:
-            refused = AttemptOutcome(AttemptEnd.NOT_SENT)
+            refused = AttemptOutcome(AttemptEnd.NOT_SENT, is_refused=True)
             self._at(self.now_ms + path_ms, self._finish, key, refused)
         else:
             self._at(self.now_ms + 2 * path_ms, self._connected, key, path_ms)
@@ -352,7 +361,7 @@
         if attempt is None or host not in self.virtual.engine_by_host:
             return
         is_kept = outcome.end in (AttemptEnd.ANSWERED, AttemptEnd.UPSTREAM_ERROR)
-        if is_kept and self.kept[attempt["slot"]] < KEPT_CONNECTIONS:
+        if is_kept and self.kept[attempt["slot"]] < self.kept_connections:
             self.kept[attempt["slot"]] += 1
         if attempt["written"]:
             outcome = outcome._replace(sent_ms=attempt["since_ms"])
--- a/tests/test_handover_run.py
+++ b/tests/test_handover_run.py
@@ -32,6 +32,7 @@
 ANSWER = UpstreamAnswer(200, (), b"body", "stamp")
 MERGED = MergedAnswer(b"", ("s",), 0)
 NOT_SENT = AttemptOutcome(AttemptEnd.NOT_SENT)
+REFUSED = AttemptOutcome(AttemptEnd.NOT_SENT, is_refused=True)
 
 
 class Handover:
@@ -251,6 +252,28 @@
     assert run.result.ran is Ran.NO
 
 
+@pytest.mark.parametrize("heard", [(), ("payroll",)])
+def test_a_request_that_finds_no_connection_is_handed_over_on_proof_alone(heard):
+    """Kept connections live on, so that the service is heard from and not failing."""
+    run = Handover(is_isolated=False).start()
+    for attempt in range(3):
+        run.ended(attempt, REFUSED, 10.0)
+    assert not run.of(Conclude)
+    run.peers.asked(["payroll"], run.hosts, 10.0)
+    run.report(12.0, heard=heard)
+    run.reconsider(12.0)
+    assert len(run.of(SendRelay)) == len(heard)
+    assert len(run.of(Conclude)) == 1 - len(heard)
+
+
+def test_connections_that_are_late_are_no_reason_to_ask_other_hosts():
+    run = Handover(is_isolated=False).start()
+    for attempt in range(3):
+        run.ended(attempt, NOT_SENT, 10.0)
+    assert run.result.ran is Ran.NO
+    assert not run.wanted
+
+
 def test_an_upstreams_answer_is_never_handed_over():
     run = Handover(is_isolated=False).start()
     run.ended(0, answered(b"x"), 20.0)
--- a/tests/test_hosts_without_upstreams.py
+++ b/tests/test_hosts_without_upstreams.py
@@ -111,6 +111,17 @@
     assert theirs[len(theirs) // 2] <= own[len(own) // 2] + 30.0
 
 
+@pytest.mark.parametrize("kind", ROUTES)
+def test_requests_beyond_kept_connections_are_served_while_new_ones_are_refused(kind):
+    fleet = CutFleet(ROUTES[kind], kept_connections=1)
+    cut_hosts = hosts_of(fleet, "most of all")
+    play(fleet, cut_hosts, "refuse", rate_per_s=400.0)
+    settled = (FROM_MS + SETTLED_MS, TO_MS)
+    assert fleet.served_at(cut_hosts, *settled) >= 0.97
+    assert_no_request_ran_more_often_than_allowed(fleet)
+    assert_hops_are_sound(fleet)
+
+
 @pytest.mark.parametrize("dead", ["domain", "service", "all"])
 @pytest.mark.parametrize(
     ("kind", "per_domain"),
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -15,6 +15,7 @@
 from burdockmill.policies.isolation import MIN_UNHEARD_MS, is_isolated
 from burdockmill.policies.reach_targets import evidence_targets, reach_targets
 from burdockmill.tables.upstream_reach import (
+    REFUSING_MS,
     FailedReach,
     ReachFailure,
     UpstreamReach,
@@ -179,6 +180,25 @@
     assert not host.reach.is_service_failing([first, second, third])
 
 
+def test_an_upstream_that_refuses_connections_is_noted_beside_its_answers():
+    host = Monitored()
+    first, *_ = replicas_of("shard-0")
+    host.ended(first, AttemptEnd.NOT_SENT, 10.0, is_refused=True)
+    host.ended(first, AttemptEnd.ANSWERED, 20.0)
+    assert not host.reach.is_failing(first.upstream)
+    assert host.reach.refusing_services(USABLE, 30.0) == {"shard-0": 10.0}
+    host.ended(first, AttemptEnd.NOT_SENT, 500.0, since_ms=490.0, is_refused=True)
+    assert host.reach.refusing_services(USABLE, 1_400.0) == {"shard-0": 10.0}
+    assert not host.reach.refusing_services(USABLE, 501.0 + REFUSING_MS)
+
+
+def test_connections_that_are_late_are_not_refused():
+    host = Monitored()
+    first, *_ = replicas_of("shard-0")
+    host.ended(first, AttemptEnd.NOT_SENT, 10.0)
+    assert not host.reach.is_refusing(first.upstream, 10.0)
+
+
 def targets_of(host, failing=()):
     return reach_targets(host.reach, USABLE, failing, "waw-a", random.Random(1))
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -272,6 +272,16 @@
     assert planner.plan(["c"], ["far"], 30.0).host == "near"
 
 
+def test_a_host_that_is_refused_connections_takes_requests_over_last():
+    planner, _ = make_relay_planner()
+    refusing = ReachReport(0.0, True, (), (), refusing=("c",))
+    planner.peers.record("near", refusing, 2.0)
+    assert planner.plan(["c"], (), 30.0).host == "near"
+    planner.peers.record("far", available(0.0), 26.0)
+    assert planner.plan(["c"], (), 30.0).host == "far"
+    assert planner.plan(["d"], (), 30.0).host == "near"
+
+
 def test_a_host_that_declined_is_avoided_for_a_while():
     planner, _ = make_relay_planner()
     planner.peers.record("e1", available(0.0), 2.0)
@@ -336,20 +346,26 @@
 def test_a_host_that_others_refer_to_is_waited_for_once():
     planner, _ = make_relay_planner()
     planner.peers.asked((), ["near"], 0.0)
-    planner.peers.record("near", ReachReport(0.0, False, (), (), ("far",)), 1.0)
+    planner.peers.record(
+        "near", ReachReport(0.0, False, (), (), referrals=("far",)), 1.0
+    )
     assert planner.peers.referred_hosts(1.0) == ["far"]
     assert planner.plan(["c"], (), 2.0).way is Way.WAIT
     planner.peers.record("far", ReachReport(2.0, False, (), ()), 26.0)
     assert planner.plan(["c"], (), 27.0).way is Way.NOWHERE
     # A host that has reported needs no referral.
-    planner.peers.record("near", ReachReport(0.0, False, (), (), ("far",)), 28.0)
+    planner.peers.record(
+        "near", ReachReport(0.0, False, (), (), referrals=("far",)), 28.0
+    )
     assert planner.plan(["c"], (), 29.0).way is Way.NOWHERE
 
 
 def test_a_referral_is_no_report():
     planner, _ = make_relay_planner()
     planner.peers.asked((), ["near"], 0.0)
-    planner.peers.record("near", ReachReport(0.0, False, (), (), ("far",)), 1.0)
+    planner.peers.record(
+        "near", ReachReport(0.0, False, (), (), referrals=("far",)), 1.0
+    )
     assert not planner.peers.rows(1.0)[0].is_available
     assert planner.plan(["c"], (), 1.0 + REPLY_WAIT_MS).way is Way.NOWHERE
 
