Run hosts as processes under faults drawn from a seed, and check what others saw

`make soak` starts hosts of the platform, upstreams and a store as processes behind loopback proxies, draws faults of links, hosts, upstreams, store and configuration from a seed, and checks the users' rules from what clients and upstreams saw.

--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,46 @@
+"""Run a soak: `python -m soak --seed 1 --minutes 2 --hosts 3`."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+from collections import Counter
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from soak.checks import find_violations
+from soak.run import SoakRun
+
+MILLISECONDS_PER_MINUTE = 60_000.0
+# Less leaves no time for faults between the quiet start and end.
+LEAST_MINUTES = 0.5
+
+
+def main(
+    seed: Annotated[int, typer.Option(help="Draws the faults and the traffic.")] = 1,
+    minutes: Annotated[float, typer.Option(min=LEAST_MINUTES)] = 2.0,
+    hosts: Annotated[int, typer.Option(min=2, max=100)] = 3,
+    folder: Annotated[Path | None, typer.Option(help="Where logs go.")] = None,
+) -> None:
+    """Run hosts as processes, put faults in, and list the rules that were broken."""
+    folder = folder or Path(tempfile.mkdtemp(prefix="soak-"))
+    folder.mkdir(parents=True, exist_ok=True)
+    run = SoakRun(seed, minutes * MILLISECONDS_PER_MINUTE, hosts, folder)
+    for step in run.plan:
+        print(step)
+    record = asyncio.run(run.run())
+    statuses = Counter(one.status for one in record.attempts)
+    print(
+        f"{len(record.attempts)} attempts by status: {dict(statuses)}; logs: {folder}"
+    )
+    violations = find_violations(record)
+    for one in violations:
+        print(one._replace(at_ms=one.at_ms - record.from_ms))
+    print(f"seed {seed}: {len(violations)} violations")
+    raise typer.Exit(bool(violations))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,279 @@
+"""Run a site for a time, put the faults of a plan in, and record what was seen."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import signal
+from collections.abc import Sequence
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any
+
+from soak.plan import QUIET_END_MS, Step, draw_plan
+from soak.records import (
+    Arrival,
+    ClientAttempt,
+    Configuration,
+    Departure,
+    Impairment,
+    ProcessSample,
+    RunRecord,
+    Stop,
+)
+from soak.soak_client import SoakClient, now_ms
+from soak.soak_host import SoakHost
+from soak.soak_upstream import UpstreamPlace
+from soak.store_client import StoreClient
+from tests.builders_platform import configuration_of, search_route, single_route
+
+ZONES = ("waw-a", "krk-a")
+SHARD_SETS = (("a", "b"), ("e", "f", "g"))
+MOVED_SERVICES = ("c", "d")
+SERVICES = ("a", "b", "e", "f", "g", "c", "d")
+CLIENTS_PER_HOST = 3
+SETTLE_S = 2.0
+SAMPLE_S = 1.0
+DRAIN_S = 3.5
+AWAY_S = 2.2
+UNREGISTER_S = 0.8
+REWRITE_S = 0.3
+VERSION_STEP = 2
+
+
+class SoakRun:
+    """Run hosts, upstreams, a store and clients as processes and tasks."""
+
+    def __init__(self, seed: int, duration_ms: float, hosts: int, folder: Path) -> None:
+        self.plan = draw_plan(seed, duration_ms, hosts, len(SERVICES) * len(ZONES))
+        self._seed = seed
+        self._duration_ms = duration_ms
+        self._store = StoreClient()
+        self._ends: list[str] = []
+        self._stray: list[str] = []
+        self._attempts: list[ClientAttempt] = []
+        self._arrivals: list[Arrival] = []
+        self._impairments: list[Impairment] = []
+        self._stops: list[Stop] = []
+        self._departures: list[Departure] = []
+        self._configurations: list[Configuration] = []
+        self._samples: list[ProcessSample] = []
+        self._versions = itertools.count(1, VERSION_STEP)
+        self._shards = 0
+        self._moved = 0
+        self._hosts = [
+            SoakHost(number, folder, self._ends.append) for number in range(hosts)
+        ]
+        self._places = [
+            UpstreamPlace(service, number, zone, self._arrived)
+            for service, (number, zone) in itertools.product(SERVICES, enumerate(ZONES))
+        ]
+
+    async def run(self) -> RunRecord:
+        """Run the plan; return all that was seen."""
+        async with AsyncExitStack() as stack:
+            await self._start(stack)
+            from_ms = now_ms()
+            to_ms = from_ms + self._duration_ms
+            clients = self._start_clients(to_ms)
+            sampling = asyncio.create_task(self._sample())
+            async with asyncio.TaskGroup() as faults:
+                for step in self.plan:
+                    faults.create_task(self._apply(step, from_ms))
+            faults_end_ms = now_ms()
+            await asyncio.gather(*clients)
+            sampling.cancel()
+            return RunRecord(
+                from_ms,
+                to_ms,
+                min(faults_end_ms, to_ms - QUIET_END_MS),
+                self._attempts,
+                self._arrivals,
+                self._impairments,
+                self._stops,
+                self._departures,
+                self._configurations,
+                self._samples,
+                self._ends,
+                self._stray,
+            )
+
+    async def _start(self, stack: AsyncExitStack) -> None:
+        await self._store.start()
+        stack.push_async_callback(self._store.kill)
+        for place in self._places:
+            stack.push_async_callback(place.kill)
+        await asyncio.gather(*(place.start() for place in self._places))
+        for place in self._places:
+            await self._store.put(place.key, place.entry())
+        await self._publish()
+        for host in self._hosts:
+            stack.push_async_callback(host.close)
+            peers = [one.peer for one in self._hosts if one is not host]
+            upstreams = [place.address for place in self._places]
+            await host.connect(upstreams, peers, self._store.address)
+        await asyncio.gather(*(host.start(self._seeds) for host in self._hosts))
+        await asyncio.sleep(SETTLE_S)
+
+    def _start_clients(self, to_ms: float) -> list[asyncio.Task[None]]:
+        addresses = [host.clients.address for host in self._hosts]
+        clients = [
+            SoakClient(
+                f"c{number}",
+                self._seed,
+                addresses,
+                self._attempts.append,
+                self._stray.append,
+            )
+            for number in range(CLIENTS_PER_HOST * len(self._hosts))
+        ]
+        return [asyncio.create_task(one.run(to_ms)) for one in clients]
+
+    @property
+    def _seeds(self) -> Sequence[str]:
+        return [host.peer for host in self._hosts[:3]]
+
+    def _arrived(self, line: dict[str, Any]) -> None:
+        # Health checks have no id.
+        if line.get("id"):
+            self._arrivals.append(Arrival(**line))
+
+    async def _publish(self) -> None:
+        version = next(self._versions)
+        shards, moved = SHARD_SETS[self._shards], MOVED_SERVICES[self._moved]
+        routes = [
+            search_route(list(shards)),
+            single_route("c"),
+            single_route("c", name="once", prefix="/once/", type="unsafe"),
+            single_route(moved, name="moved", prefix="/moved/"),
+        ]
+        await self._store.put(
+            "op/config", configuration_of(routes, list(SERVICES), version)
+        )
+        self._configurations.append(Configuration(version, shards, moved, now_ms()))
+
+    async def _sample(self) -> None:
+        while True:
+            for host in self._hosts:
+                host.check_running()
+                if host.pid is not None:
+                    self._samples += _sample_of(host.number, host.pid)
+            await asyncio.sleep(SAMPLE_S)
+
+    # Faults.
+
+    async def _apply(self, step: Step, from_ms: float) -> None:
+        await asyncio.sleep(max(0.0, from_ms + step.at_ms - now_ms()) / 1_000)
+        match step.kind:
+            case "link":
+                await self._harm_links(step)
+            case "stop" | "kill":
+                await self._end_host(step)
+            case "pause":
+                await self._pause(self._hosts[step.number], step, step.number)
+            case "hup":
+                self._impair(step, now_ms(), step.number)
+                self._hosts[step.number].signal(signal.SIGHUP)
+            case "upstream_pause":
+                await self._pause(self._places[step.number], step, None)
+            case "upstream_kill" | "upstream_leave":
+                await self._replace(step)
+            case "move_route":
+                self._moved = 1 - self._moved
+                await self._publish()
+            case "reshard":
+                self._shards = 1 - self._shards
+                await self._publish()
+            case "store_pause":
+                await self._pause(self._store, step, None)
+            case "store_copy":
+                await self._restart_store(step)
+
+    def _impair(self, step: Step, began_ms: float, host: int | None) -> None:
+        kind = f"{step.kind} {step.side}".strip()
+        self._impairments.append(Impairment(began_ms, now_ms(), kind, host))
+
+    async def _harm_links(self, step: Step) -> None:
+        began_ms = now_ms()
+        proxies = self._hosts[step.number].proxies(step.side)
+        await asyncio.gather(*(one.harm(step.how) for one in proxies))
+        await asyncio.sleep(step.for_ms / 1_000)
+        await asyncio.gather(*(one.heal() for one in proxies))
+        self._impair(step, began_ms, step.number)
+
+    async def _end_host(self, step: Step) -> None:
+        host = self._hosts[step.number]
+        if host.is_busy:
+            return
+        host.is_busy = True
+        began_ms = now_ms()
+        if step.kind == "stop":
+            await host.stop()
+            self._stops.append(Stop(step.number, began_ms, now_ms()))
+        else:
+            await host.kill()
+        await asyncio.sleep(step.for_ms / 1_000)
+        await host.start(self._seeds)
+        self._impair(step, began_ms, step.number)
+        host.is_busy = False
+
+    async def _pause(
+        self,
+        paused: SoakHost | UpstreamPlace | StoreClient,
+        step: Step,
+        host: int | None,
+    ) -> None:
+        began_ms = now_ms()
+        paused.signal(signal.SIGSTOP)
+        await asyncio.sleep(step.for_ms / 1_000)
+        paused.signal(signal.SIGCONT)
+        self._impair(step, began_ms, host)
+
+    async def _replace(self, step: Step) -> None:
+        place = self._places[step.number]
+        if place.is_busy:
+            return
+        place.is_busy = True
+        began_ms = now_ms()
+        if step.kind == "upstream_leave":
+            place.leave()
+            await self._store.put(place.key, place.entry("draining"))
+            self._departures.append(Departure(place.name, now_ms()))
+            await asyncio.sleep(DRAIN_S)
+            await self._store.remove(place.key)
+            await asyncio.sleep(UNREGISTER_S)
+            await place.kill()
+        else:
+            await place.kill()
+            await asyncio.sleep(UNREGISTER_S)
+            await self._store.remove(place.key)
+        await asyncio.sleep(AWAY_S)
+        await place.start()
+        await self._store.put(place.key, place.entry())
+        if step.kind == "upstream_kill":
+            self._impair(step, began_ms, None)
+        place.is_busy = False
+
+    async def _restart_store(self, step: Step) -> None:
+        began_ms = now_ms()
+        await self._store.restart_from_copy()
+        await asyncio.sleep(REWRITE_S)
+        for place in self._places:
+            if not place.is_busy:
+                await self._store.put(place.key, place.entry())
+        await self._publish()
+        self._impair(step, began_ms, None)
+
+
+def _sample_of(host: int, pid: int) -> list[ProcessSample]:
+    """Return what a process holds, nothing if it has just ended."""
+    try:
+        status = Path(f"/proc/{pid}/status").read_text()
+        descriptors = len(list(Path(f"/proc/{pid}/fd").iterdir()))
+    except OSError:
+        return []
+    for line in status.splitlines():
+        if line.startswith("VmRSS:"):
+            memory_kb = int(line.split()[1])
+            return [ProcessSample(now_ms(), host, pid, memory_kb, descriptors)]
+    return []
--- /dev/null
+++ b/soak/soak_host.py
@@ -0,0 +1,125 @@
+"""Run one host behind proxies of all its connections."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+from soak.child_process import ChildProcess
+from soak.host import PROXIES
+from soak.link_proxy import LinkProxy
+from tests.builders_addresses import free_address, loopback_ip_of
+from tests.builders_platform import SETTINGS
+
+FIRST_INDEX = 10
+START_LIMIT_S = 20.0
+# SIGKILL follows SIGTERM after the grace time; a host ends before that.
+GRACE_S = 3.0
+END_SLACK_S = 0.5
+
+
+class SoakHost:
+    """Start, stop and restart one host; its links can be harmed."""
+
+    def __init__(
+        self, number: int, folder: Path, on_unexpected_end: Callable[[str], None]
+    ) -> None:
+        index = FIRST_INDEX + number
+        self.number = number
+        self.ip = loopback_ip_of(index)
+        self.ingress, self.ready, self.peer = (free_address(index) for _ in range(3))
+        self.clients = LinkProxy(free_address(index), self.ingress)
+        self.is_busy = False
+        self._proxies_by_side: dict[str, list[LinkProxy]] = {"clients": [self.clients]}
+        self._path = folder / f"host-{number}.conf"
+        self._log = (folder / f"host-{number}.jsonl").open("w")
+        self._on_unexpected_end = on_unexpected_end
+        self._serving = asyncio.Event()
+        self._process = ChildProcess(self._read)
+
+    @property
+    def pid(self) -> int | None:
+        """Return the id of the host's process, None if it does not run."""
+        return self._process.pid
+
+    def proxies(self, side: str) -> list[LinkProxy]:
+        """Return the proxies of one side of the host."""
+        return self._proxies_by_side[side]
+
+    async def connect(
+        self, upstreams: Sequence[str], peers: Sequence[str], store: str
+    ) -> None:
+        """Open proxies to what the host connects to."""
+        targets = {"upstreams": upstreams, "peers": peers, "store": [store]}
+        for side, addresses in targets.items():
+            self._proxies_by_side[side] = [
+                LinkProxy(free_address(FIRST_INDEX + self.number), one)
+                for one in addresses
+            ]
+        for proxies in self._proxies_by_side.values():
+            await asyncio.gather(*(one.open() for one in proxies))
+
+    async def start(self, seeds: Sequence[str]) -> None:
+        """Start the process, and wait until it serves clients."""
+        [store] = self._proxies_by_side["store"]
+        replaced = {
+            "ip=127.0.0.1": f"ip={self.ip}",
+            "seeds=127.0.0.1:8224,127.0.0.2:8224": f"seeds={','.join(seeds)}",
+            "127.0.0.1:8226": self.ingress,
+            "127.0.0.1:8227": self.ready,
+            "127.0.0.1:8224": self.peer,
+            "127.0.0.1:8229": store.address,
+            "grace-s=6": f"grace-s={GRACE_S:.0f}",
+        }
+        text = SETTINGS
+        for before, after in replaced.items():
+            text = text.replace(before, after)
+        self._path.write_text(text)
+        proxies = [*self.proxies("upstreams"), *self.proxies("peers")]
+        addresses = {one.target: one.address for one in proxies}
+        self._serving.clear()
+        await self._process.start(
+            "soak.host",
+            BURDOCKMILL_CONFIG=str(self._path),
+            **{PROXIES: json.dumps(addresses)},
+        )
+        async with asyncio.timeout(START_LIMIT_S):
+            await self._serving.wait()
+
+    async def stop(self) -> None:
+        """Stop the process as planned work does."""
+        self._process.is_end_expected = True
+        self.signal(signal.SIGTERM)
+        if not await self._process.wait(GRACE_S + END_SLACK_S):
+            self._on_unexpected_end(f"host {self.number} outlived its grace time")
+        await self.kill()
+
+    async def kill(self) -> None:
+        """Kill the process."""
+        await self._process.kill()
+
+    async def close(self) -> None:
+        """Kill the process and close all proxies."""
+        await self.kill()
+        for proxies in self._proxies_by_side.values():
+            await asyncio.gather(*(one.close() for one in proxies))
+        self._log.close()
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        self._process.signal(number)
+
+    def check_running(self) -> None:
+        """Report the process if it ended by itself."""
+        if self.pid is None and not self._process.is_end_expected:
+            self._process.is_end_expected = True
+            self._on_unexpected_end(f"host {self.number} ended by itself")
+
+    def _read(self, line: dict[str, Any]) -> None:
+        self._log.write(json.dumps(line) + "\n")
+        if "serves clients" in line.get("message", ""):
+            self._serving.set()
--- /dev/null
+++ b/soak/upstream.py
@@ -0,0 +1,132 @@
+"""Run a stand-in of an upstream as a process; it writes what arrives, line by line.
+
+A line `leave` on its standard input makes it say that it is leaving.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import sys
+import time
+from typing import NamedTuple
+
+RECORDS, RECORD_BYTES = 12, 16
+HEAD_END = b"\r\n\r\n"
+
+
+class Request(NamedTuple):
+    """One request as it was read."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def id(self) -> str:
+        """Return the id that its client gave it."""
+        return self.headers.get("x-burdockmill-request-id", "")
+
+
+def answer_of(service: str, method: str, target: str, body: bytes) -> bytes:
+    """Return the records of a service for a request; the same at each upstream."""
+    seed = b"|".join([service.encode(), method.encode(), target.encode(), body])
+    digests = (hashlib.sha256(seed + bytes([one])).digest() for one in range(RECORDS))
+    return b"".join(digest[:RECORD_BYTES] for digest in digests)
+
+
+class Upstream:
+    """Serve one service at one address."""
+
+    def __init__(self, name: str, service: str, work_ms: float) -> None:
+        self._name = name
+        self._service = service
+        self._work_ms = work_ms
+        self._is_leaving = False
+
+    async def run(self, address: str) -> None:
+        """Serve until the process ends."""
+        host, port = address.split(":")
+        server = await asyncio.start_server(
+            self._serve, host, int(port), reuse_address=True
+        )
+        asyncio.get_running_loop().add_reader(sys.stdin, self._read_command)
+        print(json.dumps({"started": self._name}), flush=True)
+        async with server:
+            await server.serve_forever()
+
+    def _read_command(self) -> None:
+        line = sys.stdin.readline()
+        if not line:
+            asyncio.get_running_loop().remove_reader(sys.stdin)
+        self._is_leaving = self._is_leaving or line.strip() == "leave"
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while request := await _read(reader):
+                is_mine = request.headers.get("x-burdockmill-expect-instance")
+                ran = is_mine in (None, self._name)
+                self._write_line(request, ran)
+                if ran:
+                    await asyncio.sleep(self._work_ms / 1_000)
+                writer.write(self._answer(request, ran))
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    def _answer(self, request: Request, ran: bool) -> bytes:
+        body = b""
+        if ran:
+            body = answer_of(
+                self._service, request.method, request.target, request.body
+            )
+        lines = [
+            "HTTP/1.1 200 OK" if ran else "HTTP/1.1 421 Misdirected Request",
+            f"Content-Length: {len(body)}",
+            f"X-Burdockmill-Request-Id: {request.id}",
+            f"X-Burdockmill-Server-Stamp: {self._name}.{request.id}",
+        ]
+        if not ran:
+            lines.append("X-Burdockmill-Not-Executed: 1")
+        if self._is_leaving:
+            lines.append("Server-Leaving: 1")
+        return "\r\n".join(lines).encode() + HEAD_END + body
+
+    def _write_line(self, request: Request, ran: bool) -> None:
+        line = {
+            "at_ms": time.monotonic() * 1_000,
+            "upstream": self._name,
+            "service": self._service,
+            "id": request.id,
+            "method": request.method,
+            "target": request.target,
+            "body": request.body.decode("latin-1"),
+            "left_ms": float(request.headers.get("x-burdockmill-deadline-ms", -1)),
+            "ran": ran,
+        }
+        print(json.dumps(line), flush=True)
+
+
+async def _read(reader: asyncio.StreamReader) -> Request | None:
+    try:
+        head = (await reader.readuntil(HEAD_END)).decode("latin-1")
+    except asyncio.IncompleteReadError:
+        return None
+    first, *rest = head.rstrip().split("\r\n")
+    headers = {}
+    for line in rest:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    method, target, _ = first.split(" ")
+    return Request(method, target, headers, body)
+
+
+if __name__ == "__main__":
+    asyncio.run(Upstream(sys.argv[1], sys.argv[2], float(sys.argv[4])).run(sys.argv[3]))
