--- a/soak/link_proxy.py
+++ b/soak/link_proxy.py
@@ -13,6 +13,22 @@
 FILLING_CONNECTIONS = 4
 
 
+def fill_queue(address: str) -> list[socket.socket]:
+    """Let further connections to an address hang; return the sockets that do it."""
+    host, port = address.split(":")
+    listening = socket.socket()
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listening.bind((host, int(port)))
+    listening.listen(0)
+    sockets = [listening]
+    for _ in range(FILLING_CONNECTIONS):
+        filling = socket.socket()
+        filling.setblocking(False)
+        filling.connect_ex((host, int(port)))
+        sockets.append(filling)
+    return sockets
+
+
 class LinkProxy:
     """Forward all connections to one address, until a fault is put in."""
 
@@ -48,7 +64,7 @@
         if how in ("hang", "refuse"):
             self._stop_listening()
         if how == "hang":
-            self._fill_queue()
+            self._sockets += fill_queue(self.address)
         if how == "reset":
             self._abort_all()
         if how == "half_close":
@@ -79,19 +95,6 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
-    def _fill_queue(self) -> None:
-        host, port = self.address.split(":")
-        listening = socket.socket()
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listening.bind((host, int(port)))
-        listening.listen(0)
-        self._sockets.append(listening)
-        for _ in range(FILLING_CONNECTIONS):
-            filling = socket.socket()
-            filling.setblocking(False)
-            filling.connect_ex((host, int(port)))
-            self._sockets.append(filling)
-
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/soak/soak_host.py
+++ b/soak/soak_host.py
@@ -13,7 +13,7 @@
 from soak.host import PROXIES
 from soak.link_proxy import LinkProxy
 from tests.builders_addresses import free_address, loopback_ip_of
-from tests.builders_platform import SETTINGS
+from tests.builders_platform import settings_of
 
 FIRST_INDEX = 10
 START_LIMIT_S = 20.0
@@ -66,26 +66,16 @@
     async def start(self, seeds: Sequence[str]) -> None:
         """Start the process, and wait until it serves clients."""
         [store] = self._proxies_by_side["store"]
-        replaced = {
-            "ip=127.0.0.1": f"ip={self.ip}",
-            "seeds=127.0.0.1:8224,127.0.0.2:8224": f"seeds={','.join(seeds)}",
-            "127.0.0.1:8226": self.ingress,
-            "127.0.0.1:8227": self.ready,
-            "127.0.0.1:8224": self.peer,
-            "127.0.0.1:8229": store.address,
-            "grace-s=6": f"grace-s={GRACE_S:.0f}",
-        }
-        text = SETTINGS
-        for before, after in replaced.items():
-            text = text.replace(before, after)
+        addresses = (self.ingress, self.ready, self.peer, store.address)
+        text = settings_of(self.ip, seeds, *addresses, grace_s=round(GRACE_S))
         self._path.write_text(text)
         proxies = [*self.proxies("upstreams"), *self.proxies("peers")]
-        addresses = {one.target: one.address for one in proxies}
+        proxy_by_address = {one.target: one.address for one in proxies}
         self._serving.clear()
         await self._process.start(
             "soak.host",
             BURDOCKMILL_CONFIG=str(self._path),
-            **{PROXIES: json.dumps(addresses)},
+            **{PROXIES: json.dumps(proxy_by_address)},
         )
         async with asyncio.timeout(START_LIMIT_S):
             await self._serving.wait()
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -31,6 +31,23 @@
 """
 
 
+def settings_of(ip, seeds, ingress, ready, peer, store, grace_s):
+    """Return the settings of a host at some addresses."""
+    replaced = {
+        "ip=127.0.0.1": f"ip={ip}",
+        "seeds=127.0.0.1:8224,127.0.0.2:8224": f"seeds={','.join(seeds)}",
+        "127.0.0.1:8226": ingress,
+        "127.0.0.1:8227": ready,
+        "127.0.0.1:8224": peer,
+        "127.0.0.1:8229": store,
+        "grace-s=6": f"grace-s={grace_s}",
+    }
+    text = SETTINGS
+    for before, after in replaced.items():
+        text = text.replace(before, after)
+    return text
+
+
 def configuration_of(routes, services, version=7):
     return {
         "version": version,
--- a/tests/builders_platform_processes.py
+++ b/tests/builders_platform_processes.py
@@ -10,7 +10,7 @@
 
 from tests.builders_addresses import free_address, loopback_ip_of
 from tests.builders_forwarding_node import Client, until
-from tests.builders_platform import SETTINGS
+from tests.builders_platform import settings_of
 
 OPERATOR_PORT = 9_464
 # Hosts of other builders have lower addresses.
@@ -36,19 +36,8 @@
         self._clients = []
 
     async def start(self, seeds):
-        replaced = {
-            "ip=127.0.0.1": f"ip={self.ip}",
-            "seeds=127.0.0.1:8224,127.0.0.2:8224": f"seeds={','.join(seeds)}",
-            "127.0.0.1:8226": self.ingress,
-            "127.0.0.1:8227": self.ready,
-            "127.0.0.1:8224": self.peer,
-            "127.0.0.1:8229": self._store.address,
-            "grace-s=6": "grace-s=1",
-        }
-        text = SETTINGS
-        for before, after in replaced.items():
-            text = text.replace(before, after)
-        self._path.write_text(text)
+        addresses = (self.ingress, self.ready, self.peer, self._store.address)
+        self._path.write_text(settings_of(self.ip, seeds, *addresses, grace_s=1))
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
--- a/tests/builders_proxies.py
+++ b/tests/builders_proxies.py
@@ -2,15 +2,13 @@
 
 import asyncio
 import json
-import socket
 
+from soak.link_proxy import fill_queue
 from tests.builders_addresses import free_address
 from tests.builders_platform_processes import HostProcess
 from tests.proxied_host import PROXIES
 
 CHUNK_BYTES = 65_536
-# Connections beyond those that fill a listening socket's queue hang.
-FILLING_CONNECTIONS = 4
 
 
 class Proxy:
@@ -35,7 +33,7 @@
         self._server.close()
         if how == "hang":
             self._flowing.clear()
-            self._fill_queue()
+            self._sockets += fill_queue(self.address)
         elif how == "reset":
             self._reset()
 
@@ -59,19 +57,6 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
-    def _fill_queue(self):
-        host, port = self.address.split(":")
-        listening = socket.socket()
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listening.bind((host, int(port)))
-        listening.listen(0)
-        self._sockets.append(listening)
-        for _ in range(FILLING_CONNECTIONS):
-            filling = socket.socket()
-            filling.setblocking(False)
-            filling.connect_ex((host, int(port)))
-            self._sockets.append(filling)
-
     async def _serve(self, reader, writer):
         host, port = self.target.split(":")
         try:
