Read answers of the store to their end over links and hosts that are slow

Cause: the timeout of a call bounded its whole answer. A host without a catalog allows 600 ms; pages of a megabyte take longer over a link of 6.5 Mbit/s or with an eighth of a core, and each retry began anew with the same bound, at every host, for ever. The class: a bound that does not grow with the work that it bounds, and a retry that repeats it.

Change: the timeout bounds the wait for the head and for each further piece. An answer of less than 25 kB/s on the whole is still abandoned, and so is one that stops arriving. The error says how many bytes had come.

The three new tests fail without the change: the first as its catalog is not read, the others as the error does not say what had arrived.

--- a/burdockmill/platform/store_source.py
+++ b/burdockmill/platform/store_source.py
@@ -46,6 +46,8 @@
 WATCH_MARGIN_MS = 1_500.0
 # Pages and events hold about a megabyte, or one value of that size in base64.
 ANSWER_LIMIT_BYTES = 8 * 1024 * 1024
+# An answer that arrives more slowly than this is abandoned.
+MIN_BYTES_PER_S = 25_000
 OK, NOT_FOUND, GONE = 200, 404, 410
 MILLISECONDS_PER_SECOND = 1_000
 
@@ -90,7 +92,10 @@
         self._era: Era = 0
 
     async def read_all(self, timeout_ms: float) -> CatalogDelta:
-        """Return the whole catalog; `timeout_ms` bounds each call; raise StoreError."""
+        """Return the whole catalog; raise StoreError.
+
+        `timeout_ms` bounds the wait for each answer, and for each further piece of it.
+        """
         first: StorePosition | None = None
         items: list[_Item] = []
         for prefix in (CONFIGURATION_KEY, REGISTRATIONS_PREFIX):
@@ -147,16 +152,20 @@
         self.counts["calls"] += 1
         timeout_s = timeout_ms / MILLISECONDS_PER_SECOND
         url = f"http://{self._address}{path}?{urlencode(query)}"
+        body = bytearray()
         try:
             async with (
-                asyncio.timeout(timeout_s),
+                asyncio.timeout(timeout_s) as timeout,
                 self._get_session().get(url) as response,
             ):
-                body = await self._read_body(response)
+                await self._read_body(response, body, timeout, timeout_s)
                 status = response.status
                 headers = response.headers
         except TimeoutError as error:
-            self._raise_error(f"no answer within {timeout_s:.1f} s", error)
+            self._raise_error(
+                f"no answer within {timeout_s:.1f} s, {len(body)} bytes received",
+                error,
+            )
         except (ClientError, OSError) as error:
             self._raise_error(f"{type(error).__name__}: {error}", error)
         era = self._read_era(headers)
@@ -165,16 +174,25 @@
             raise HistoryLostError("the history is no longer kept")
         if status != OK:
             self._raise_error(f"status {status}")
-        return _Answer(body, era)
-
-    async def _read_body(self, response: ClientResponse) -> bytes:
-        body = bytearray()
+        return _Answer(bytes(body), era)
+
+    async def _read_body(
+        self,
+        response: ClientResponse,
+        body: bytearray,
+        timeout: asyncio.Timeout,
+        timeout_s: float,
+    ) -> None:
+        """Append to `body`; each piece extends the timeout, as links may be slow."""
+        loop = asyncio.get_running_loop()
+        latest_s = loop.time() + timeout_s
         async for chunk in response.content.iter_any():
             body += chunk
             if len(body) > ANSWER_LIMIT_BYTES:
                 response.close()
                 self._raise_error(f"an answer of more than {ANSWER_LIMIT_BYTES} bytes")
-        return bytes(body)
+            slowest_s = latest_s + len(body) / MIN_BYTES_PER_S
+            timeout.reschedule(min(loop.time() + timeout_s, slowest_s))
 
     def _read_era(self, headers: Mapping[str, str]) -> Era:
         """Return the era of an answer, the last one received if it states none.
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -124,6 +124,9 @@
         self.era = None
         self.era_header = "Store-Era"
         self.calls_by_path = Counter()
+        # None: answers are sent at once, else in pieces of this size.
+        self.chunk_bytes = None
+        self.chunk_interval_s = 0.0
         self._changed = asyncio.Event()
         self._runner = None
         self.address = ""
@@ -195,8 +198,20 @@
             response = await self._watch(request.query)
         if self.era is not None:
             response.headers[self.era_header] = str(self.era)
+        if self.chunk_bytes is not None:
+            return await self._send_in_pieces(request, response)
         return response
 
+    async def _send_in_pieces(self, request, response):
+        body = response.body
+        slow = web.StreamResponse(headers=response.headers)
+        slow.content_length = len(body)
+        await slow.prepare(request)
+        for start in range(0, len(body), self.chunk_bytes):
+            await slow.write(body[start : start + self.chunk_bytes])
+            await asyncio.sleep(self.chunk_interval_s)
+        return slow
+
     def _range(self, query):
         keys = sorted(
             key
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,5 +1,7 @@
 """Check how responses of the store are converted to catalog changes."""
 
+import asyncio
+
 import pytest
 
 from burdockmill.clients.catalog_source import HistoryLostError, StoreError
@@ -133,6 +135,36 @@
     assert (await source.read_all(1_500.0)).tables.version == 7
 
 
+async def test_a_catalog_that_takes_longer_than_the_timeout_to_arrive_is_read(
+    store, source
+):
+    for number in range(40):
+        store.put(f"servers/u-{number}", entry_of("a", f"127.0.0.1:{9000 + number}"))
+    store.page = 100
+    store.chunk_bytes, store.chunk_interval_s = 1_000, 0.05
+    delta = await source.read_all(200.0)
+    assert len(delta.registered) == 40
+
+
+async def test_an_answer_that_arrives_too_slowly_times_out(store, source):
+    for number in range(40):
+        store.put(f"servers/u-{number}", entry_of("a", f"127.0.0.1:{9000 + number}"))
+    store.page = 100
+    store.chunk_bytes, store.chunk_interval_s = 10, 0.05
+    async with asyncio.timeout(2.0):
+        with pytest.raises(StoreError, match="bytes received"):
+            await source.read_all(200.0)
+
+
+async def test_an_answer_that_stops_arriving_times_out(store, source):
+    for number in range(400):
+        store.put(f"servers/u-{number}", entry_of("a", f"127.0.0.1:{9000 + number}"))
+    store.chunk_bytes, store.chunk_interval_s = 30_000, 10.0
+    async with asyncio.timeout(2.0):
+        with pytest.raises(StoreError, match="bytes received"):
+            await source.read_all(200.0)
+
+
 async def test_an_answer_with_a_wrong_type_is_an_error(store, source):
     store.put("servers/u-1", entry_of("a", "127.0.0.1:9001"))
     store.items["servers/u-1"]["rev"] = "not a number"
