--- a/tests/test_forwarding_client.py
+++ b/tests/test_forwarding_client.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from burdockmill.clients._lifo_connector import LifoConnector
 from burdockmill.clients.forwarding_client import ForwardingClient
 from burdockmill.clock import MonotonicClock
 from burdockmill.forwarding.actions import SendAttempt
@@ -300,6 +301,31 @@
     outcome = await caller.send()
     assert outcome.end is AttemptEnd.NOT_SENT
     assert outcome.end.certainly_not_run
+    assert outcome.is_refused
+
+
+async def test_a_request_that_cannot_be_encoded_is_no_refused_connection(
+    upstream, caller, monkeypatch
+):
+    def fail(*_):
+        raise ValueError("a header that cannot be sent")
+
+    monkeypatch.setattr(PlatformUpstreamCodec, "headers", fail)
+    outcome = await caller.send()
+    assert outcome.end is AttemptEnd.NOT_SENT
+    assert not outcome.is_refused
+
+
+async def test_a_connection_that_is_not_open_in_time_is_no_refused_one(
+    upstream, caller, monkeypatch
+):
+    async def hang(*_):
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr(LifoConnector, "_create_connection", hang)
+    outcome = await caller.send()
+    assert outcome.end is AttemptEnd.NOT_SENT
+    assert not outcome.is_refused
 
 
 async def test_a_connection_is_not_reused_shortly_before_its_idle_timeout(
