Soak sites with a large configuration, slow links to the store and losses of power

Change: the seed draws both for a site, and a fault that kills all hosts. The store's process takes long commands, and a run ends with an error if the store does not confirm one (a run had hung for ten minutes).

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -28,6 +28,7 @@
     folder = folder or Path(tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
     run = SoakRun(seed, minutes * MILLISECONDS_PER_MINUTE, hosts, folder)
+    print(run.site)
     for step in run.plan:
         print(step)
     record = asyncio.run(run.run())
--- a/soak/link_proxy.py
+++ b/soak/link_proxy.py
@@ -30,11 +30,15 @@
 
 
 class LinkProxy:
-    """Forward all connections to one address, until a fault is put in."""
+    """Forward all connections to one address, until a fault is put in.
 
-    def __init__(self, address: str, target: str) -> None:
+    Each connection carries answers at `bytes_per_s` if that is not 0.
+    """
+
+    def __init__(self, address: str, target: str, bytes_per_s: float = 0.0) -> None:
         self.address = address
         self.target = target
+        self._bytes_per_s = bytes_per_s
         self._how = ""
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -133,6 +137,8 @@
         try:
             while chunk := await reader.read(CHUNK_BYTES):
                 await self._wait_while_blocked(is_answer)
+                if is_answer and self._bytes_per_s:
+                    await asyncio.sleep(len(chunk) / self._bytes_per_s)
                 await self._write(writer, chunk)
             writer.write_eof()
         except (OSError, RuntimeError):
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -18,7 +18,12 @@
 LINK_SIDES = ("clients", "upstreams", "peers", "store")
 HOST_KINDS = ("stop", "kill", "pause", "hup")
 UPSTREAM_KINDS = ("upstream_kill", "upstream_pause", "upstream_leave")
-SITE_KINDS = ("move_route", "reshard", "store_pause", "store_copy")
+SITE_KINDS = ("move_route", "reshard", "store_pause", "store_copy", "power_loss")
+# Idle routes make a configuration of some 400 kB, as operators of many services have.
+IDLE_ROUTES = 1_500
+LARGE_CHANCE = 0.5
+SLOW_STORE_CHANCE = 0.5
+SLOW_STORE_BYTES_PER_S = 400_000.0
 WEIGHT_BY_KIND = {
     "link": 6.0,
     "stop": 3.0,
@@ -32,9 +37,21 @@
     "reshard": 1.0,
     "store_pause": 1.0,
     "store_copy": 0.5,
+    "power_loss": 0.5,
 }
 
 
+class Site(NamedTuple):
+    """What a site is like for a whole run.
+
+    `idle_routes` get no requests. `store_bytes_per_s` is what the link between a host
+    and the store carries, 0 if it has no limit.
+    """
+
+    idle_routes: int = 0
+    store_bytes_per_s: float = 0.0
+
+
 class Step(NamedTuple):
     """One fault: at `at_ms` from the start, for `for_ms` where it lasts.
 
@@ -54,6 +71,14 @@
         return " ".join([*words, f"{self.for_ms:.0f} ms"])
 
 
+def draw_site(seed: int) -> Site:
+    """Return what the site of a run is like."""
+    rng = random.Random(f"site {seed}")
+    idle_routes = IDLE_ROUTES if rng.random() < LARGE_CHANCE else 0
+    is_slow = rng.random() < SLOW_STORE_CHANCE
+    return Site(idle_routes, SLOW_STORE_BYTES_PER_S if is_slow else 0.0)
+
+
 def draw_plan(
     seed: int, duration_ms: float, hosts: int, upstreams: int
 ) -> tuple[Step, ...]:
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from soak.plan import QUIET_END_MS, Step, draw_plan
+from soak.plan import QUIET_END_MS, Step, draw_plan, draw_site
 from soak.records import (
     Arrival,
     ClientAttempt,
@@ -45,6 +45,7 @@
     """Run hosts, upstreams, a store and clients as processes and tasks."""
 
     def __init__(self, seed: int, duration_ms: float, hosts: int, folder: Path) -> None:
+        self.site = draw_site(seed)
         self.plan = draw_plan(seed, duration_ms, hosts, len(SERVICES) * len(ZONES))
         self._seed = seed
         self._duration_ms = duration_ms
@@ -111,7 +112,9 @@
             stack.push_async_callback(host.close)
             peers = [one.peer for one in self._hosts if one is not host]
             upstreams = [place.address for place in self._places]
-            await host.connect(upstreams, peers, self._store.address)
+            await host.connect(
+                upstreams, peers, self._store.address, self.site.store_bytes_per_s
+            )
         await asyncio.gather(*(host.start(self._seeds) for host in self._hosts))
         await asyncio.sleep(SETTLE_S)
 
@@ -146,6 +149,10 @@
             single_route("c"),
             single_route("c", name="once", prefix="/once/", type="unsafe"),
             single_route(moved, name="moved", prefix="/moved/"),
+            *(
+                single_route("c", name=f"idle-{number}", prefix=f"/idle-{number}/")
+                for number in range(self.site.idle_routes)
+            ),
         ]
         await self._store.put(
             "op/config", configuration_of(routes, list(SERVICES), version)
@@ -169,6 +176,13 @@
                 await self._harm_links(step)
             case "stop" | "kill":
                 await self._end_host(step)
+            case "power_loss":
+                await asyncio.gather(
+                    *(
+                        self._end_host(step._replace(kind="kill", number=host.number))
+                        for host in self._hosts
+                    )
+                )
             case "pause":
                 await self._pause(self._hosts[step.number], step, step.number)
             case "hup":
--- a/soak/soak_host.py
+++ b/soak/soak_host.py
@@ -51,15 +51,19 @@
         return self._proxies_by_side[side]
 
     async def connect(
-        self, upstreams: Sequence[str], peers: Sequence[str], store: str
+        self,
+        upstreams: Sequence[str],
+        peers: Sequence[str],
+        store: str,
+        store_bytes_per_s: float,
     ) -> None:
         """Open proxies to what the host connects to."""
-        targets = {"upstreams": upstreams, "peers": peers, "store": [store]}
-        for side, addresses in targets.items():
+        for side, addresses in (("upstreams", upstreams), ("peers", peers)):
             self._proxies_by_side[side] = [
-                LinkProxy(free_address(FIRST_INDEX + self.number), one)
-                for one in addresses
+                LinkProxy(self._free_address(), one) for one in addresses
             ]
+        to_store = LinkProxy(self._free_address(), store, store_bytes_per_s)
+        self._proxies_by_side["store"] = [to_store]
         for proxies in self._proxies_by_side.values():
             await asyncio.gather(*(one.open() for one in proxies))
 
@@ -109,6 +113,9 @@
             self._process.is_end_expected = True
             self._on_unexpected_end(f"host {self.number} ended by itself")
 
+    def _free_address(self) -> str:
+        return free_address(FIRST_INDEX + self.number)
+
     def _read(self, line: dict[str, Any]) -> None:
         self._log.write(json.dumps(line) + "\n")
         if "serves clients" in line.get("message", ""):
--- a/soak/store.py
+++ b/soak/store.py
@@ -8,6 +8,7 @@
 from collections import deque
 from typing import Any
 
+from soak.child_process import LINE_LIMIT_BYTES
 from tests.builders_platform import StandinStore
 
 # The copy from which the store restarts is so old.
@@ -23,7 +24,7 @@
 
     async def run(self) -> None:
         """Read commands until standard input ends."""
-        reader = asyncio.StreamReader()
+        reader = asyncio.StreamReader(limit=LINE_LIMIT_BYTES)
         await asyncio.get_running_loop().connect_read_pipe(
             lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
         )
--- a/soak/store_client.py
+++ b/soak/store_client.py
@@ -11,6 +11,8 @@
 from soak.child_process import ChildProcess
 
 START_LIMIT_S = 10.0
+# A store that has not confirmed a command by then has ended; pauses are shorter.
+COMMAND_LIMIT_S = 20.0
 
 
 class Command(NamedTuple):
@@ -62,7 +64,8 @@
         done = asyncio.get_running_loop().create_future()
         self._done_by_number[number] = done
         self._process.write_line(json.dumps({"number": number, **command._asdict()}))
-        await done
+        async with asyncio.timeout(COMMAND_LIMIT_S):
+            await done
 
     def _read(self, line: dict[str, Any]) -> None:
         if "started" in line:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,7 +3,7 @@
 import pytest
 
 from soak.checks import find_violations
-from soak.plan import QUIET_END_MS, draw_plan
+from soak.plan import QUIET_END_MS, draw_plan, draw_site
 from soak.records import (
     Configuration,
     Departure,
@@ -158,3 +158,10 @@
     assert plan == draw_plan(7, 120_000.0, 5, 14)
     assert plan != draw_plan(8, 120_000.0, 5, 14)
     assert all(one.at_ms + one.for_ms <= 120_000.0 - QUIET_END_MS for one in plan)
+
+
+def test_the_seed_of_ci_loses_power_with_a_large_configuration_and_a_slow_store():
+    site, plan = draw_site(2), draw_plan(2, 60_000.0, 3, 14)
+    assert site.idle_routes
+    assert site.store_bytes_per_s
+    assert "power_loss" in {one.kind for one in plan}
