--- a/review/3/run.py
+++ b/review/3/run.py
@@ -30,6 +30,7 @@
 
 SERVICE = "clubroll"
 DEADLY_PATH, USUAL_PATH = "/goka902/deadly", "/goka902/2f"
+UPSTREAM_ZONES = ("jhb-a", "jhb-a", "cpt-a", "dbn-a")
 STABLE_WINDOW_S = 5.0
 RETRIES_LIMIT = 3
 STEADY_S = 7.0
@@ -46,8 +47,8 @@
 class FragileUpstream(Upstream):
     """Crash under the deadly request: fall silent, and be back after some seconds."""
 
-    def __init__(self, zone: str, store: Store, record: Record) -> None:
-        super().__init__(f"i-{zone}", SERVICE, zone, record)
+    def __init__(self, name: str, zone: str, store: Store, record: Record) -> None:
+        super().__init__(name, SERVICE, zone, record)
         self.deadly_runs: list[tuple[float, str]] = []
         self._store = store
         self._is_down = False
@@ -115,7 +116,8 @@
 async def main(fleet: Fleet) -> int:
     """Return whether the deadly request is held back in time."""
     upstreams = [
-        FragileUpstream(zone, fleet.store, fleet.record) for zone in REGION_BY_ZONE
+        FragileUpstream(f"i-{number}", zone, fleet.store, fleet.record)
+        for number, zone in enumerate(UPSTREAM_ZONES, 1)
     ]
     fleet.upstreams += upstreams
     await fleet.open()
