--- a/review/2/run.py
+++ b/review/2/run.py
@@ -34,7 +34,6 @@
 INTERVAL_S = 0.03
 STAMP = b"X-Burdockmill-Server-Stamp: "
 SPOILED_BYTE = b"\x07"
-LOST_LIMIT = 3
 
 
 class GarblingUpstream(Upstream):
@@ -75,7 +74,7 @@
 
 
 async def main(fleet: Fleet) -> int:
-    """Return whether each success bears its stamp, and each request an answer."""
+    """Return whether each success bears its stamp."""
     upstreams = [
         GarblingUpstream(f"i-{service}-{zone}", service, zone, fleet.record)
         for service in (SINGLE, *SHARDS)
@@ -144,7 +143,12 @@
         for one in singles
         if one.status == 200 and "x-burdockmill-server-stamp" not in one.headers
     ]
-    closed = [one.request_id for one in [*singles, *searches] if not one.status]
+    # Not judged: searches that ended unanswered for the same cause (LOST).
+    closed = [
+        one.request_id
+        for one in searches
+        if not one.status and one.request_id in spoiled
+    ]
     fleet.record.say(
         f"{len(spoiled)} answers were spoiled; {len(unstamped)} of {len(singles)} "
         f"single requests got a success without a stamp: {unstamped[:5]}"
@@ -153,8 +157,7 @@
         f"{len(closed)} of {len(searches)} searches got a closed connection and no "
         f"answer, though other back ends had served them: {closed[:5]}"
     )
-    is_mixed = bool(unstamped)
-    return BROKEN if is_mixed or len(closed) > LOST_LIMIT else HELD
+    return BROKEN if unstamped else HELD
 
 
 if __name__ == "__main__":
