Say which long-lived task ended, and how old the catalog is at each host

The log, the status page and the metrics could not tell a store that is away, a reader that ended, a host that is not told and a store without changes apart.

Each long-lived task has a name now: its end is counted and logged with the cause, and burdockmill_task_running says whether it runs. A host logs at once when no host has confirmed its catalog for the bound of changes, and again when one does. Metrics state when the store last answered this host, and since when a peer has had a newer catalog.

--- a/burdockmill/_forwarding_reports.py
+++ b/burdockmill/_forwarding_reports.py
@@ -7,6 +7,7 @@
 from burdockmill.explanation import explain_local
 from burdockmill.member_status import members_of
 from burdockmill.metrics import (
+    CATALOG_BEHIND,
     CONNECTIONS_OPEN,
     ISOLATED,
     MEMBERS,
@@ -14,7 +15,9 @@
     REQUESTS_OPEN,
     REVISION,
     RULES_AGE,
+    STORE_ANSWER_AGE,
     STORE_ERA,
+    TASK_RUNNING,
 )
 
 if TYPE_CHECKING:
@@ -55,6 +58,17 @@
             "store_era": catalog.era,
             "catalog_revision": catalog.revision,
             "catalog_age_ms": round(now_ms - world.fleet.confirmed_ms),
+            "catalog_behind_ms": round(_behind_ms(node, now_ms)),
+            "store_answer_age_ms": _store_answer_age_ms(node, now_ms),
+            "tasks": [
+                {
+                    "task": task.name,
+                    "is_running": task.is_running,
+                    "since_ms": round(now_ms - task.since_ms),
+                    "last_error": task.last_error,
+                }
+                for task in node.supervisor.statuses()
+            ],
             "requests_open": len(node.data_path.forwarder.open_runs),
             "members": members_of(world),
             "isolated": world.reach.is_isolated,
@@ -93,6 +107,7 @@
         metrics = node.metrics
         world = node.engine.world
         metrics.set_event_counts("node", node.counts)
+        metrics.set_event_counts("tasks", node.supervisor.counts)
         metrics.set_event_counts("core", world.counter_by_name)
         metrics.set_event_counts("upstreams", node.data_path.client.counts)
         metrics.set_event_counts("peers", node.peers.counts)
@@ -121,9 +136,23 @@
         metrics.set_gauge(STORE_ERA, world.catalog.era)
         metrics.set_gauge(ISOLATED, world.reach.is_isolated)
         metrics.set_gauge(RULES_AGE, age_ms / MILLISECONDS_PER_SECOND)
+        self._set_store_health()
         self._set_members()
         return metrics.render_text(accept)
 
+    def _set_store_health(self) -> None:
+        node = self._node
+        now_ms = node.clock.now_ms()
+        for task in node.supervisor.statuses():
+            node.metrics.set_gauge(TASK_RUNNING, task.is_running, task=task.name)
+        behind_ms = _behind_ms(node, now_ms)
+        node.metrics.set_gauge(CATALOG_BEHIND, behind_ms / MILLISECONDS_PER_SECOND)
+        answer_age_ms = _store_answer_age_ms(node, now_ms)
+        answer_age_s = (
+            -1.0 if answer_age_ms is None else answer_age_ms / MILLISECONDS_PER_SECOND
+        )
+        node.metrics.set_gauge(STORE_ANSWER_AGE, answer_age_s)
+
     def _set_members(self) -> None:
         rows = self._node.engine.world.member_by_host.values()
         count_by_state = {
@@ -140,6 +169,16 @@
     return None if row is None else row.limit_per_s
 
 
+def _behind_ms(node: ForwardingNode, now_ms: float) -> float:
+    since_ms = node.engine.world.fleet.behind_since_ms
+    return 0.0 if since_ms is None else now_ms - since_ms
+
+
+def _store_answer_age_ms(node: ForwardingNode, now_ms: float) -> int | None:
+    answered_ms = node.reader.answered_ms
+    return None if answered_ms is None else round(now_ms - answered_ms)
+
+
 def _state(node: ForwardingNode) -> str:
     if node.stopping:
         return "stopping"
--- a/burdockmill/clients/catalog_reader.py
+++ b/burdockmill/clients/catalog_reader.py
@@ -74,6 +74,8 @@
         self._clock = clock
         self._rng = rng
         self._emit = emit
+        # When the store last gave this host a valid answer.
+        self.answered_ms: float | None = None
         self._watch_ms = int(change_limit_ms / WATCHES_PER_LIMIT)
         self._batching_delay_ms = change_limit_ms / BATCHES_PER_LIMIT
         self._unconfirmed_limit_ms = change_limit_ms * UNCONFIRMED_FRACTION
@@ -190,6 +192,7 @@
             )
 
     def _record_success(self) -> None:
+        self.answered_ms = self._clock.now_ms()
         if self._is_unreachable:
             self._is_unreachable = False
             self._last_unreachable_ms = self._clock.now_ms()
--- a/burdockmill/fleet_core.py
+++ b/burdockmill/fleet_core.py
@@ -7,7 +7,7 @@
 from burdockmill.engine import Engine
 from burdockmill.systems._limit_allocator import LimitAllocator
 from burdockmill.systems.anti_entropy_system import AntiEntropySystem
-from burdockmill.systems.catalog_system import CatalogSystem
+from burdockmill.systems.catalog_system import DEFAULT_AGE_LIMIT_MS, CatalogSystem
 from burdockmill.systems.cross_domain_probe_system import CrossDomainProbeSystem
 from burdockmill.systems.dissemination_system import DisseminationSystem
 from burdockmill.systems.limit_allocation_system import LimitAllocationSystem
@@ -27,12 +27,16 @@
 
 
 def make_fleet_engine(
-    host: HostId, domain: DomainId, rng: random.Random, ring: Ring
+    host: HostId,
+    domain: DomainId,
+    rng: random.Random,
+    ring: Ring,
+    catalog_age_limit_ms: float = DEFAULT_AGE_LIMIT_MS,
 ) -> Engine:
     """Return an engine for a host that owns no upstream."""
     allocator = LimitAllocator()
     systems = (
-        CatalogSystem(),
+        CatalogSystem(catalog_age_limit_ms),
         MemberSystem(),
         ProbeSystem(ring),
         CrossDomainProbeSystem(),
--- a/burdockmill/forwarding_node.py
+++ b/burdockmill/forwarding_node.py
@@ -36,6 +36,7 @@
 from burdockmill.messages.limits import TokensChanged
 from burdockmill.messages.reach import LinkTestWanted, ReachChanged
 from burdockmill.metrics import Metrics
+from burdockmill.supervisor import Supervisor
 from burdockmill.surfaces._bounded_server import ServerBounds
 from burdockmill.surfaces.host_gateway import HostGateway
 from burdockmill.surfaces.ingress import Ingress, ready_app
@@ -47,7 +48,7 @@
 from burdockmill.tables.rows import MemberRow
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine, Mapping
+    from collections.abc import Callable, Mapping
     from socket import socket
 
     from aiohttp import web
@@ -100,7 +101,9 @@
         self._process_started_ms = process_started_ms or self._created_ms
         rng = random.Random()
         ring = Ring()
-        self.engine = make_fleet_engine(settings.host, settings.domain, rng, ring)
+        self.engine = make_fleet_engine(
+            settings.host, settings.domain, rng, ring, settings.change_limit_ms
+        )
         self._pump = EnginePump(self.engine, self.clock, self._run_actions, self.counts)
         self.peers = PeerClient(settings.host, settings.peer_key, self.post)
         self.data_path = DataPath(
@@ -128,7 +131,7 @@
             lambda: self.stopping,
             self._log_decision,
         )
-        self._reader = CatalogReader(
+        self.reader = CatalogReader(
             source,
             self.engine.world,
             ring,
@@ -142,7 +145,7 @@
         )
         self._reports = ForwardingReports(self)
         self.listener_by_surface: dict[str, Listener] = {}
-        self._tasks: list[asyncio.Task[None]] = []
+        self.supervisor = Supervisor(self.clock)
         self._flush_timer: asyncio.TimerHandle | None = None
         self._settings_watch: SettingsWatcher | None = None
 
@@ -185,10 +188,10 @@
         started_ms = int(time.time() * MILLISECONDS_PER_SECOND)
         own = MemberRow(*identity, incarnation=started_ms)
         self.post(HostStarted(own, settings.seed_rows()))
-        self._start_task(self._reader.run())
+        self.supervisor.start("store reader", self.reader.run())
         if self._settings_watch is not None:
-            self._start_task(self._settings_watch.run())
-        self._start_task(self.data_path.warmer.run())
+            self.supervisor.start("settings watcher", self._settings_watch.run())
+        self.supervisor.start("connection warmer", self.data_path.warmer.run())
         # A socket opened in advance queues clients in the kernel; none is refused.
         await self._wait_for_catalog()
         await self._open_listener(
@@ -215,9 +218,7 @@
         self._stop.begun = True
         self.post(HostStopping(float(self.settings.balancer_lag_ms)))
         await self._stop.run(self.listener_by_surface.get("ingress"))
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.supervisor.close()
         for listener in self.listener_by_surface.values():
             await listener.close()
         await self.data_path.close()
@@ -325,11 +326,6 @@
             self._flush_timer = None
         self.decisions.flush()
 
-    def _start_task(self, coroutine: Coroutine[object, object, None]) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        task.add_done_callback(_log_failure)
-        self._tasks.append(task)
-
     async def _open_listener(
         self,
         surface: str,
@@ -343,8 +339,3 @@
         listener = Listener(app, bounds)
         self.listener_by_surface[surface] = listener
         await listener.open(address, listening_socket)
-
-
-def _log_failure(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        logger.opt(exception=task.exception()).error("node: a background task failed.")
--- a/burdockmill/metrics.py
+++ b/burdockmill/metrics.py
@@ -87,6 +87,24 @@
     "Time since the active rules changed on this host; on a forwarding host, since its "
     "catalog was last confirmed to be current.",
 )
+TASK_RUNNING = Metric(
+    "burdockmill_task_running",
+    MetricKind.GAUGE,
+    ("task",),
+    "1 while a long-lived task of the host runs, 0 after it ended.",
+)
+STORE_ANSWER_AGE = Metric(
+    "burdockmill_store_answer_age_seconds",
+    MetricKind.GAUGE,
+    (),
+    "Time since this host last read the store successfully; -1 if it has not yet.",
+)
+CATALOG_BEHIND = Metric(
+    "burdockmill_catalog_behind_seconds",
+    MetricKind.GAUGE,
+    (),
+    "Time since a peer reported a newer catalog that this host still lacks, else 0.",
+)
 REFUSED_REVISION = Metric(
     "burdockmill_rules_refused_revision",
     MetricKind.GAUGE,
@@ -127,6 +145,9 @@
     STORE_ERA,
     ISOLATED,
     RULES_AGE,
+    TASK_RUNNING,
+    STORE_ANSWER_AGE,
+    CATALOG_BEHIND,
     REFUSED_REVISION,
     MEMBERS,
     REQUESTS_OPEN,
--- a/burdockmill/systems/catalog_system.py
+++ b/burdockmill/systems/catalog_system.py
@@ -12,6 +12,7 @@
     CatalogRead,
     CatalogReceived,
     Event,
+    HostStarted,
     PeerReceived,
     PeerRevisionReceived,
 )
@@ -34,7 +35,8 @@
 # newest; in larger domains the probes among hosts relay the confirmation.
 CONFIRM_FANOUT = 16
 STORE = "store"
-REQUEST, LEAVE = "request", "leave"
+REQUEST, LEAVE, AGE = "request", "leave", "age"
+DEFAULT_AGE_LIMIT_MS = 3_000.0
 
 
 class CatalogSystem(System):
@@ -46,6 +48,7 @@
 
     name = CONFIG
     handles = (
+        HostStarted,
         CatalogRead,
         CatalogConfirmed,
         CatalogReceived,
@@ -54,7 +57,9 @@
         CatalogResponse,
     )
 
-    def __init__(self) -> None:
+    def __init__(self, age_limit_ms: float = DEFAULT_AGE_LIMIT_MS) -> None:
+        self._age_limit_ms = age_limit_ms
+        self._is_old = False
         self._position_by_host: dict[HostId, StorePosition] = {}
 
     def run(self, world: World, now_ms: float) -> list[Action]:
@@ -65,14 +70,19 @@
         for key in world.due(self.name).pop_due(now_ms):
             if key == REQUEST:
                 self._request_catalog(world, now_ms, actions)
+            elif key == AGE:
+                self._check_age(world, now_ms, actions)
             else:
                 self._remove_departed(world, now_ms, actions)
+        self._note_newer_peers(world, now_ms)
         return actions
 
     def _handle(
         self, world: World, event: Event, now_ms: float, actions: list[Action]
     ) -> None:
         match event:
+            case HostStarted():
+                world.due(self.name).schedule(AGE, now_ms + self._age_limit_ms)
             case CatalogRead():
                 compact = world.catalog.with_tables_delta(event.delta)
                 self._apply(world, event.delta, STORE, now_ms, actions)
@@ -106,6 +116,39 @@
         for host in receivers:
             send_probe(world, host, now_ms, actions)
 
+    def _check_age(self, world: World, now_ms: float, actions: list[Action]) -> None:
+        """Log when the catalog becomes too old, and when it is confirmed again."""
+        age_ms = now_ms - world.fleet.confirmed_ms
+        is_old = age_ms >= self._age_limit_ms
+        wait_ms = self._age_limit_ms if is_old else self._age_limit_ms - age_ms
+        world.due(self.name).schedule(AGE, now_ms + wait_ms)
+        if is_old == self._is_old:
+            return
+        self._is_old = is_old
+        newest = max(self._position_by_host.values(), default=world.catalog.position)
+        inputs = {
+            "store_era": world.catalog.era,
+            "revision": world.catalog.revision,
+            "configuration": world.catalog.version,
+            "age_ms": round(age_ms),
+            "newest_of_peers": tuple(newest),
+        }
+        choice = "catalog confirmed again"
+        reason = "a host that reads the store reported that it is current"
+        if is_old:
+            world.counter_by_name["catalog_grew_old"] += 1
+            choice = f"catalog not confirmed for {age_ms:.0f} ms"
+            reason = "no host reports that it is current"
+        actions.append(LogDecision("catalog", "", choice, reason, inputs=inputs))
+
+    def _note_newer_peers(self, world: World, now_ms: float) -> None:
+        """Note since when a peer has reported a catalog that this host lacks."""
+        current = world.catalog.position
+        if not any(newer > current for newer in self._position_by_host.values()):
+            world.fleet.behind_since_ms = None
+        elif world.fleet.behind_since_ms is None:
+            world.fleet.behind_since_ms = now_ms
+
     def _handle_response(
         self,
         world: World,
--- a/burdockmill/tables/fleet.py
+++ b/burdockmill/tables/fleet.py
@@ -40,6 +40,8 @@
         self.newest_seen: Revision = 0
         self.refused_revision: Revision = 0
         self.confirmed_ms = -UNCONFIRMED_MS
+        # Since when a peer has reported a newer catalog than this host's.
+        self.behind_since_ms: float | None = None
         self.refused_problems: tuple[str, ...] = ()
 
     @cached_property
