Set one odd item of the store aside alone, whatever its decoder raises

Each item is decoded by itself now, and whatever its decoder raises sets that item aside alone: one bounded log line until the item can be read again, a count, and its key and reason. Slots and start times outside of 64 bits name no upstream, larger slots and cold times are bounded, and so is the text; an id that cannot be sent in a header names no upstream. Any failure of a call, also one that is neither ClientError nor OSError (a redirect to a malformed host raised UnicodeError, an era of 4,301 digits ValueError), is a StoreError, and redirects are not followed.

Before: the first two tests of tests/test_following_store.py failed, three of three hosts staying at version 7; after: both pass. The second one bound an address in use, so it failed without the entry too: it now stops the host first, fails on the former code for want of a catalog, and passes here.

--- a/burdockmill/clients/catalog_source.py
+++ b/burdockmill/clients/catalog_source.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from burdockmill.messages.catalog import CatalogDelta
     from burdockmill.messages.store_position import StorePosition
 
@@ -38,6 +40,10 @@
         Raise StoreError; HistoryLostError if the store cannot tell these changes.
         """
 
+    def set_aside(self) -> Mapping[str, str]:
+        """Return why each item that cannot be read is set aside, by its key."""
+        return {}
+
     @abstractmethod
     async def close(self) -> None:
         """Close all connections."""
--- a/burdockmill/platform/configuration.py
+++ b/burdockmill/platform/configuration.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import re
+from typing import TYPE_CHECKING, Annotated, TypeVar
 
 import msgspec
 
@@ -21,8 +22,25 @@
 if TYPE_CHECKING:
     from burdockmill.names import UpstreamId
 
+    Decoded = TypeVar("Decoded")
+
 IDEMPOTENT = "safe"
 READY, DRAINING = "ready", "draining"
+# An upstream's id is sent to it in a header.
+UPSTREAM_ID = re.compile(r"[\x21-\x7e]{1,200}")
+HIGHEST_NUMBER = 2**63 - 1
+SLOTS_LIMIT = 1_000_000
+COLD_LIMIT_MS = 600_000.0
+TEXT_LIMIT_CHARACTERS = 1_024
+# A reason quotes at most this much, since some decoders quote their input.
+REASON_LIMIT_CHARACTERS = 200
+
+_Number = Annotated[int, msgspec.Meta(ge=-HIGHEST_NUMBER, le=HIGHEST_NUMBER)]
+_Text = Annotated[str, msgspec.Meta(max_length=TEXT_LIMIT_CHARACTERS)]
+
+
+class MalformedValueError(ValueError):
+    """Signal that a value in the store cannot be read, or names nothing usable."""
 
 
 class _Split(msgspec.Struct, rename="kebab"):
@@ -68,18 +86,18 @@
 
 
 class _Entry(msgspec.Struct, rename="kebab"):
-    service: str
+    service: _Text
     address: str
-    zone: str
+    zone: _Text
     # The version of the upstream's software, not of this entry.
     version: str
-    slots: int
+    slots: _Number
     state: str
     # For how many more milliseconds the upstream is slow after its start.
     cold_left_ms: float
     seq_num: int
     # The wall-clock time of the upstream's start, in milliseconds.
-    born: int = 0
+    born: _Number = 0
 
 
 _CONFIGURATION_DECODER = msgspec.json.Decoder(_Configuration)
@@ -87,8 +105,8 @@
 
 
 def decode_configuration(value: bytes) -> RoutingTables:
-    """Return the routing tables; raise msgspec.MsgspecError."""
-    decoded = _CONFIGURATION_DECODER.decode(value)
+    """Return the routing tables; raise MalformedValueError."""
+    decoded = _decode(_CONFIGURATION_DECODER, value)
     limits = decoded.limits
     return RoutingTables(
         decoded.version,
@@ -106,29 +124,45 @@
     )
 
 
-def decode_registration(key: str, value: bytes) -> Registration | None:
-    """Return an upstream's registration, or None if it is malformed or unusable."""
-    try:
-        entry = _ENTRY_DECODER.decode(value)
-    except (msgspec.MsgspecError, UnicodeError):
-        return None
-    if not is_address(entry.address) or entry.state not in (READY, DRAINING):
-        return None
+def decode_registration(key: str, value: bytes) -> Registration:
+    """Return an upstream's registration; raise MalformedValueError."""
+    entry = _decode(_ENTRY_DECODER, value)
+    if not is_address(entry.address):
+        raise MalformedValueError("the address is malformed")
+    if entry.state not in (READY, DRAINING):
+        raise MalformedValueError("the state is unknown")
     return Registration(
         upstream_from_key(key),
         entry.service,
         entry.address,
         entry.zone,
-        max(1, entry.slots),
+        min(max(1, entry.slots), SLOTS_LIMIT),
         entry.state == DRAINING,
-        entry.cold_left_ms,
+        min(max(0.0, entry.cold_left_ms), COLD_LIMIT_MS),
         entry.born,
     )
 
 
 def upstream_from_key(key: str) -> UpstreamId:
-    """Return the id of the upstream that is registered under a store key."""
-    return key.removeprefix(REGISTRATIONS_PREFIX)
+    """Return the upstream that is registered under a key; raise MalformedValueError."""
+    upstream = key.removeprefix(REGISTRATIONS_PREFIX)
+    if not UPSTREAM_ID.fullmatch(upstream):
+        raise MalformedValueError("the key names no upstream")
+    return upstream
+
+
+def describe(error: Exception) -> str:
+    """Return an error's type and text, cut short."""
+    return f"{type(error).__name__}: {error}"[:REASON_LIMIT_CHARACTERS]
+
+
+def _decode(decoder: msgspec.json.Decoder[Decoded], value: bytes) -> Decoded:
+    try:
+        return decoder.decode(value)
+    except Exception as error:
+        # Beside its own errors the decoder raises RecursionError, UnicodeError and
+        # others, depending on the bytes.
+        raise MalformedValueError(describe(error)) from error
 
 
 def _route(decoded: _Route) -> Route:
--- a/burdockmill/platform/store_source.py
+++ b/burdockmill/platform/store_source.py
@@ -3,15 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import binascii
-from base64 import b64decode
+import re
 from collections import Counter
-from typing import TYPE_CHECKING, Any, NamedTuple, NoReturn
+from typing import TYPE_CHECKING, Any, NamedTuple, NoReturn, TypeVar
 from urllib.parse import urlencode
 
-import msgspec
-from aiohttp import ClientError, TCPConnector
-from loguru import logger
+from aiohttp import TCPConnector
 
 from burdockmill.clients._session import open_session
 from burdockmill.clients.catalog_source import (
@@ -19,14 +16,15 @@
     HistoryLostError,
     StoreError,
 )
-from burdockmill.messages.catalog import CatalogDelta, Departed, Registered
 from burdockmill.messages.store_position import StorePosition
-from burdockmill.platform.configuration import (
-    decode_configuration,
-    decode_registration,
-    upstream_from_key,
-)
+from burdockmill.platform.configuration import REASON_LIMIT_CHARACTERS, describe
 from burdockmill.platform.headers import first_value
+from burdockmill.platform.store_items import StoreItems
+from burdockmill.platform.store_pages import (
+    MalformedAnswerError,
+    decode_events,
+    decode_range,
+)
 from burdockmill.platform.wire_names import (
     CONFIGURATION_KEY,
     REGISTRATIONS_PREFIX,
@@ -34,12 +32,15 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Callable, Mapping
 
     from aiohttp import ClientResponse, ClientSession
 
-    from burdockmill.forwarding.routes import RoutingTables
-    from burdockmill.names import Address, Era, Revision
+    from burdockmill.messages.catalog import CatalogDelta
+    from burdockmill.names import Address, Era
+    from burdockmill.platform.store_pages import Item
+
+    Page = TypeVar("Page")
 
 # Added to a watch's wait for its timeout; a slow store answers within a few hundred
 # milliseconds.
@@ -50,25 +51,7 @@
 MIN_BYTES_PER_S = 25_000
 OK, NOT_FOUND, GONE = 200, 404, 410
 MILLISECONDS_PER_SECOND = 1_000
-
-
-class _Item(msgspec.Struct, rename="kebab"):
-    key: str
-    # The store revision of the item's last change.
-    rev: int
-    value: str = ""
-    removed: bool = False
-
-
-class _Range(msgspec.Struct, rename="kebab"):
-    items: list[_Item]
-    store_revision: int
-    has_more: bool = False
-
-
-class _Events(msgspec.Struct, rename="kebab"):
-    events: list[_Item]
-    store_revision: int
+ERA = re.compile(r"[0-9]{1,18}")
 
 
 class _Answer(NamedTuple):
@@ -78,16 +61,13 @@
     era: Era
 
 
-_RANGE_DECODER = msgspec.json.Decoder(_Range)
-_EVENTS_DECODER = msgspec.json.Decoder(_Events)
-
-
 class StoreSource(CatalogSource):
     """Read the configuration and the upstreams' registrations, and watch both."""
 
     def __init__(self, address: Address) -> None:
         self.counts: Counter[str] = Counter()
         self._address = address
+        self._items = StoreItems(self.counts)
         self._session: ClientSession | None = None
         self._era: Era = 0
 
@@ -97,13 +77,13 @@
         `timeout_ms` bounds the wait for each answer, and for each further piece of it.
         """
         first: StorePosition | None = None
-        items: list[_Item] = []
+        items: list[Item] = []
         for prefix in (CONFIGURATION_KEY, REGISTRATIONS_PREFIX):
             after = ""
             while True:
                 query = {"prefix": prefix} | ({"after": after} if after else {})
                 answer = await self._get("/kv-range", query, timeout_ms)
-                page = self._decode(_RANGE_DECODER, answer.body)
+                page = self._decode(decode_range, answer.body)
                 # Pages are read one after the other, so together they are certainly
                 # complete only up to the revision of the first page.
                 if first is None:
@@ -121,7 +101,7 @@
                     break
                 after = page.items[-1].key
         assert first is not None
-        delta = self._build_delta(0, first, items)
+        delta = self._items.build_delta(0, first, items)
         return delta._replace(is_whole=True)
 
     async def watch(self, after: StorePosition, wait_ms: int) -> CatalogDelta:
@@ -136,9 +116,13 @@
             raise HistoryLostError(f"era {answer.era} followed era {after.era}")
         if answer.era < after.era:
             self._raise_error(f"an answer of era {answer.era} after era {after.era}")
-        response = self._decode(_EVENTS_DECODER, answer.body)
+        response = self._decode(decode_events, answer.body)
         position = StorePosition(answer.era, response.store_revision)
-        return self._build_delta(after.revision, position, response.events)
+        return self._items.build_delta(after.revision, position, response.events)
+
+    def set_aside(self) -> Mapping[str, str]:
+        """Return why each item that cannot be read is set aside, by its key."""
+        return self._items.reason_by_key
 
     async def close(self) -> None:
         """Close all connections."""
@@ -156,7 +140,7 @@
         try:
             async with (
                 asyncio.timeout(timeout_s) as timeout,
-                self._get_session().get(url) as response,
+                self._get_session().get(url, allow_redirects=False) as response,
             ):
                 await self._read_body(response, body, timeout, timeout_s)
                 status = response.status
@@ -166,8 +150,12 @@
                 f"no answer within {timeout_s:.1f} s, {len(body)} bytes received",
                 error,
             )
-        except (ClientError, OSError) as error:
-            self._raise_error(f"{type(error).__name__}: {error}", error)
+        except StoreError:
+            raise
+        except Exception as error:
+            # Beside ClientError and OSError, aiohttp and uvloop raise RuntimeError,
+            # ValueError and others for connections that break and odd answers.
+            self._raise_error(describe(error), error)
         era = self._read_era(headers)
         if status == GONE:
             self.counts["history_gone"] += 1
@@ -202,7 +190,7 @@
         text = first_value(headers, STORE_ERA)
         if text is None:
             return self._era
-        if not (text.isascii() and text.isdigit()):
+        if not ERA.fullmatch(text):
             self._raise_error(f"malformed era {text!r}")
         era = int(text)
         if era < self._era:
@@ -218,74 +206,10 @@
 
     def _raise_error(self, reason: str, cause: Exception | None = None) -> NoReturn:
         self.counts["failed_calls"] += 1
-        raise StoreError(reason) from cause
+        raise StoreError(reason[:REASON_LIMIT_CHARACTERS]) from cause
 
-    def _decode(self, decoder: msgspec.json.Decoder, body: bytes) -> Any:  # noqa: ANN401
+    def _decode(self, decode: Callable[[bytes], Page], body: bytes) -> Page:
         try:
-            return decoder.decode(body)
-        except (msgspec.MsgspecError, UnicodeError) as error:
+            return decode(body)
+        except MalformedAnswerError as error:
             self._raise_error(f"malformed answer: {error}", error)
-
-    def _build_delta(
-        self, base: Revision, position: StorePosition, items: Iterable[_Item]
-    ) -> CatalogDelta:
-        tables: RoutingTables | None = None
-        tables_revision: Revision = 0
-        change_by_key: dict[str, Registered | Departed] = {}
-        for item in items:
-            if item.key == CONFIGURATION_KEY and not item.removed:
-                newer = self._decode_tables(item)
-                if newer is not None:
-                    tables, tables_revision = newer, item.rev
-            elif item.key.startswith(REGISTRATIONS_PREFIX):
-                change_by_key[item.key] = self._decode_change(item)
-        changes = change_by_key.values()
-        return CatalogDelta(
-            base,
-            position.revision,
-            tables_revision,
-            tables,
-            tuple(change for change in changes if isinstance(change, Registered)),
-            tuple(change for change in changes if isinstance(change, Departed)),
-            era=position.era,
-        )
-
-    def _decode_tables(self, item: _Item) -> RoutingTables | None:
-        try:
-            return decode_configuration(_decode_value(item))
-        except (msgspec.MsgspecError, ValueError) as error:
-            self.counts["malformed_configurations"] += 1
-            logger.error(
-                "store: the configuration of revision {} is malformed ({}); "
-                "the last valid one stays active.",
-                item.rev,
-                error,
-            )
-            return None
-
-    def _decode_change(self, item: _Item) -> Registered | Departed:
-        departed = Departed(item.rev, upstream_from_key(item.key))
-        if item.removed:
-            return departed
-        try:
-            registration = decode_registration(item.key, _decode_value(item))
-        except ValueError:
-            registration = None
-        if registration is None:
-            self.counts["malformed_registrations"] += 1
-            logger.warning(
-                "store: the registration {} of revision {} is malformed; "
-                "it counts as removed.",
-                item.key,
-                item.rev,
-            )
-            return departed
-        return Registered(item.rev, registration)
-
-
-def _decode_value(item: _Item) -> bytes:
-    """Return the decoded value of an item; raise ValueError."""
-    try:
-        return b64decode(item.value, validate=True)
-    except binascii.Error as error:
-        raise ValueError("the value is not base64") from error
--- a/tests/test_following_store.py
+++ b/tests/test_following_store.py
@@ -24,7 +24,6 @@
     return [node.engine.world.catalog.version for node in site.nodes]
 
 
-@pytest.mark.known_red
 async def test_hosts_follow_the_store_past_an_entry_that_nests_too_deeply():
     async with Site(hosts=3, change_limit_ms=CHANGE_LIMIT_MS) as site:
         await site.ready()
@@ -41,10 +40,11 @@
             assert (await site.client(node).ask("/added/2f")).status == 200
 
 
-@pytest.mark.known_red
 async def test_a_host_starts_while_the_store_holds_an_entry_that_nests_too_deeply():
     async with Site() as site:
+        await site.ready()
         site.store.put("servers/i-other", TOO_DEEP)
+        await site.nodes[0].stop()
         node = await site.start(site.nodes[0].settings.peer_address)
         await until(lambda: node.ready, "the host has a catalog", 3.0)
 
