--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -1,5 +1,6 @@
 import asyncio
 import os
+import re
 import signal
 import site
 import subprocess
@@ -69,6 +70,14 @@
     assert "BURDOCKMILL_CONFIG is not set" in run.stderr
 
 
+def test_the_build_in_production_is_a_commit_of_the_history():
+    production = tomllib.loads(DEPLOY_FILE.read_text())["production"]
+    assert re.fullmatch("[0-9a-f]{40}", production)
+    words = ["git", "merge-base", "--is-ancestor", production, "HEAD"]
+    found = subprocess.run(words, cwd=DEPLOY_FILE.parent, check=False)
+    assert found.returncode == 0
+
+
 def test_a_platform_host_imports_no_unneeded_module():
     code = "import burdockmill.platform.daemon, sys; print(*sys.modules)"
     run = run_as_deployed("-c", code)
