--- a/burdockmill/clients/relay_client.py
+++ b/burdockmill/clients/relay_client.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from aiohttp import ClientError
+from aiohttp import ClientError, hdrs
 from loguru import logger
 
 from burdockmill.clients._upstream_codec import WrongAnswerError
@@ -155,6 +155,9 @@
             return RelayOutcome(RelayEnd.DECLINED, detail=detail)
         if response.status != OK:
             return RelayOutcome(RelayEnd.LOST, detail=detail)
+        if hdrs.CONTENT_LENGTH not in response.headers:
+            # Hosts state the length; without it a reply that was cut looks whole.
+            raise WrongAnswerError("length")
         reply, body = decode_reply(response.body)
         self._on_catalog(host, reply.catalog)
         result = result_of(reply, body)
