Take no late request that a stopping host cannot finish, and answer each at the end

What callers saw: a request whose body came slowly was passed on late in the grace time of a planned stop and cut at its end with no answer, also one that may run once. So was each request whose upstream took longer, a search with most of its shards answered, and every pipelined request but the first.

Cause: a stopping host took each request that it had read to the end, whatever time was left, and waited for open ones without a plan for those that outlast it. The process then hung in the closing of its connections until it was killed.

Change: policies/late_admission.py decides from the time that is left, the request's own limit and the latencies of its route. A connection closes once all that was read from it is answered.

--- a/burdockmill/forwarding/answer_decision.py
+++ b/burdockmill/forwarding/answer_decision.py
@@ -8,7 +8,7 @@
 from burdockmill.forwarding.actions import Conclude
 from burdockmill.forwarding.failures import Outlook, lost_answer, refusal, uncovered
 from burdockmill.forwarding.messages import MergedAnswer
-from burdockmill.policies.answer_timing import least_shards
+from burdockmill.policies.answer_timing import AnswerTimes, least_shards
 from burdockmill.policies.return_time import pause_until_enough_ms
 
 if TYPE_CHECKING:
@@ -19,7 +19,6 @@
     from burdockmill.forwarding.part_run import PartRun
     from burdockmill.forwarding.planner import Planner
     from burdockmill.forwarding.routes import Route
-    from burdockmill.policies.answer_timing import AnswerTimes
 
 
 class AnswerDecision:
@@ -36,13 +35,18 @@
     ) -> None:
         self._request = request
         self._parts = parts
-        self._times = times
+        self.times = times
         self._planner = planner
         self._merge = merge
         self._shards = route.shards
         least_coverage = 1.0 if route.shards is None else route.shards.least_coverage
         self._least_parts = least_shards(len(parts), least_coverage)
 
+    def end_by(self, end_ms: float) -> None:
+        """Let the request be answered at a clock time at the latest."""
+        partial_ms, final_ms = self.times
+        self.times = AnswerTimes(min(partial_ms, end_ms), min(final_ms, end_ms))
+
     @property
     def spare_parts(self) -> int:
         """Return without how many parts there is still an answer."""
@@ -66,7 +70,7 @@
             return Conclude(part.answer, "answered")
         if part.lost:
             return Conclude(*lost_answer(part, self._outlook(lost, now_ms)))
-        if now_ms < self._times.final_ms:
+        if now_ms < self.times.final_ms:
             return None
         failure = part.failure()
         if failure is not None:
@@ -86,9 +90,9 @@
             return self._conclude_merged("all other shards are lost")
         if self.is_unservable(len(lost)):
             return self._conclude_uncovered(lost, now_ms)
-        if now_ms >= self._times.partial_ms and is_enough:
+        if now_ms >= self.times.partial_ms and is_enough:
             return self._conclude_merged("latency goal")
-        if now_ms < self._times.final_ms:
+        if now_ms < self.times.final_ms:
             return None
         error = DeadlineExceededError(
             "Too few shards answered in time.", ran=Ran.UNKNOWN
@@ -115,6 +119,6 @@
         available = len(self._parts) - len(lost)
         return Outlook(
             self._request.request_id,
-            self._times.final_ms - now_ms,
+            self.times.final_ms - now_ms,
             pause_until_enough_ms(pauses_ms, self._least_parts - available),
         )
--- a/burdockmill/forwarding/forwarder.py
+++ b/burdockmill/forwarding/forwarder.py
@@ -7,9 +7,20 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
-from burdockmill.errors import BurdockmillError, NotReadyError, UnknownRouteError
+from burdockmill.errors import (
+    BurdockmillError,
+    NotReadyError,
+    StoppingError,
+    UnknownRouteError,
+)
 from burdockmill.forwarding.request_run import RequestRun
 from burdockmill.forwarding.run_executor import RunExecutor
+from burdockmill.policies.late_admission import (
+    RETRY_AFTER_MS,
+    LateRequest,
+    StopTimes,
+    may_finish,
+)
 from burdockmill.relay.handover_run import HandoverRun
 
 if TYPE_CHECKING:
@@ -66,6 +77,7 @@
         self.on_attempt = on_attempt
         self.relay_planner = relay_planner
         self.relay_client = relay_client
+        self.stop_times: StopTimes | None = None
         self._catalog = catalog
         self._keys = count()
         self._choices = choices
@@ -83,6 +95,8 @@
         `attempts_limit` replaces that of the route.
         """
         route = self.route_of(request)
+        if self.stop_times is not None:
+            request = self._admit_late(request, route, self.stop_times)
         if attempts_limit is not None:
             route = route._replace(attempts_limit=attempts_limit)
         run = RequestRun(
@@ -103,6 +117,11 @@
             raise result
         return result
 
+    def answer_all(self) -> None:
+        """Answer each open request now: the host ends before its upstreams may."""
+        for executor in list(self.open_runs):
+            executor.answer_now()
+
     def open_attempts(self) -> Iterable[OpenAttempt]:
         """Return the attempts in flight of requests that wait for their answers."""
         for executor in self.open_runs:
@@ -128,6 +147,22 @@
             )
         return route
 
+    def _admit_late(
+        self, request: ForwardedRequest, route: Route, stop: StopTimes
+    ) -> ForwardedRequest:
+        """Return a request to end in time; raise StoppingError if it cannot."""
+        now_ms = self.clock.now_ms()
+        final_ms = min(request.deadline_ms, request.received_ms + route.timeout_ms)
+        upstream_ms = self.planner.usual_latency_ms(route)
+        late = LateRequest(now_ms, final_ms, route.is_idempotent, upstream_ms)
+        if not may_finish(late, stop):
+            self.counts["refused_late"] += 1
+            raise StoppingError(
+                "This host stops before the request could be answered.",
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+        return request._replace(deadline_ms=min(request.deadline_ms, stop.answered_ms))
+
     def _services_of(self, route: Route) -> tuple[ServiceId, ...]:
         if route.shards is not None:
             return route.shards.services
--- a/burdockmill/forwarding/planner.py
+++ b/burdockmill/forwarding/planner.py
@@ -7,6 +7,7 @@
 
 from burdockmill.forwarding.messages import AttemptKind
 from burdockmill.policies.hedge_timing import hedge_delay_ms
+from burdockmill.policies.late_admission import MIN_SAMPLES, latency_quantile
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
@@ -144,6 +145,19 @@
         is_near = self._choice.is_near(upstream)
         self.observations.latencies(route.name, is_near).add(took_ms)
 
+    def usual_latency_ms(self, route: Route) -> float | None:
+        """Return what most attempts of a route take at most, None if it is unknown."""
+        latencies = [
+            one
+            for one in (
+                self.observations.latencies(route.name, is_near=True),
+                self.observations.latencies(route.name, is_near=False),
+            )
+            if one.count >= MIN_SAMPLES
+        ]
+        fraction = latency_quantile(route.is_idempotent)
+        return max((one.quantile(fraction) for one in latencies), default=None)
+
     def withdraw_repeat(
         self, service: ServiceId, kind: AttemptKind, now_ms: float
     ) -> bool:
--- a/burdockmill/forwarding/request_run.py
+++ b/burdockmill/forwarding/request_run.py
@@ -62,7 +62,7 @@
         self._hedges = HedgeQueue()
         self._covered = 0
         self._lost: list[PartRun] = []
-        self._times = answer_times(
+        times = answer_times(
             request.received_ms,
             request.spent_ms,
             request.deadline_ms,
@@ -73,22 +73,22 @@
             request.received_ms + route.latency_goal_ms - request.spent_ms
         )
         self.answering = AnswerDecision(
-            request, route, self.parts, self._times, planner, merge
+            request, route, self.parts, times, planner, merge
         )
 
     @property
     def final_ms(self) -> float:
         """Return the clock time at which the request is answered in any case."""
-        return self._times.final_ms
+        return self.answering.times.final_ms
 
     @property
     def next_due_ms(self) -> float | None:
         """Return the clock time in milliseconds at which `tick` is due, or None."""
         if self.completed:
             return None
-        due_ms = min(self._times.final_ms, self._hedges.next_ms)
+        due_ms = min(self.answering.times.final_ms, self._hedges.next_ms)
         if self.route.shards is not None and not self._is_past_partial:
-            due_ms = min(due_ms, self._times.partial_ms)
+            due_ms = min(due_ms, self.answering.times.partial_ms)
         return due_ms
 
     def is_complete(self, part: int) -> bool:
@@ -101,9 +101,9 @@
 
     def start(self, now_ms: float) -> list[RunAction]:
         """Send the first attempt of every part, or answer if no time is left."""
-        self._is_past_partial = now_ms >= self._times.partial_ms
+        self._is_past_partial = now_ms >= self.answering.times.partial_ms
         actions: list[RunAction] = []
-        if now_ms >= self._times.final_ms:
+        if now_ms >= self.answering.times.final_ms:
             self.completed = True
             error = DeadlineExceededError("No time was left when the request arrived.")
             return [Conclude(error, "no time left when the request arrived")]
@@ -161,7 +161,7 @@
         actions: list[RunAction] = []
         if self.completed:
             return actions
-        if now_ms >= self._times.partial_ms:
+        if now_ms >= self.answering.times.partial_ms:
             self._is_past_partial = True
         for part in self._hedges.pop_due(now_ms):
             self._hedge(part, now_ms, actions)
@@ -290,7 +290,7 @@
         self._lost.append(part)
 
     def _is_too_late(self, now_ms: float) -> bool:
-        return now_ms + MIN_ATTEMPT_MS >= self._times.final_ms
+        return now_ms + MIN_ATTEMPT_MS >= self.answering.times.final_ms
 
     def _complete_if_due(self, now_ms: float, actions: list[RunAction]) -> None:
         """Answer the request if it is complete, has failed or is out of time."""
--- a/burdockmill/forwarding/run_executor.py
+++ b/burdockmill/forwarding/run_executor.py
@@ -83,6 +83,12 @@
             relayed.cancel()
         self._share_crashes()
 
+    def answer_now(self) -> None:
+        """Answer with what is there; attempts without a response are withdrawn."""
+        now_ms = self._forwarder.clock.now_ms()
+        self._direct.answering.end_by(now_ms)
+        self._execute(self._run.tick(now_ms), now_ms)
+
     def reconsider(self) -> None:
         """Take another way if this host has learned who reaches what."""
         now_ms = self._forwarder.clock.now_ms()
--- a/burdockmill/forwarding_node.py
+++ b/burdockmill/forwarding_node.py
@@ -141,7 +141,11 @@
             self.post,
         )
         self._stop = ForwardingStop(
-            settings, self.clock, self.ingress, self.relay_server
+            settings,
+            self.clock,
+            self.data_path.forwarder,
+            self.ingress,
+            self.relay_server,
         )
         self._reports = ForwardingReports(self)
         self.listener_by_surface: dict[str, Listener] = {}
--- a/burdockmill/surfaces/_bounded_server.py
+++ b/burdockmill/surfaces/_bounded_server.py
@@ -117,6 +117,11 @@
         age_s = self._loop.time() - self._accepted_s
         return self._request_count > 0 or age_s > FIRST_REQUEST_SECONDS
 
+    @property
+    def has_next(self) -> bool:
+        """Return whether another whole request head has already been read."""
+        return bool(self._messages)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Accept a connection, or close it with an error above `connections_limit`."""
         super().connection_made(transport)
--- a/tests/builders_platform_processes.py
+++ b/tests/builders_platform_processes.py
@@ -23,11 +23,12 @@
 
     module = "burdockmill.platform"
 
-    def __init__(self, number, store, folder):
+    def __init__(self, number, store, folder, grace_s=1):
         index = FIRST_INDEX + number
         self.ip = loopback_ip_of(index)
         self.ingress, self.ready, self.peer = (free_address(index) for _ in range(3))
         self.environment = {}
+        self.grace_s = grace_s
         self._store = store
         self._path = folder / f"boot-{number}.conf"
         self.process = None
@@ -37,7 +38,9 @@
 
     async def start(self, seeds):
         addresses = (self.ingress, self.ready, self.peer, self._store.address)
-        self._path.write_text(settings_of(self.ip, seeds, *addresses, grace_s=1))
+        self._path.write_text(
+            settings_of(self.ip, seeds, *addresses, grace_s=self.grace_s)
+        )
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
