Put a message that can't be decoded aside alone, and ignore items that are added

What callers saw: nothing yet. A host refused a whole batch of another host, with 400, if one message in it had an item more than it knew, a word that it did not know, or was spoiled. So a host of an earlier build would have been deaf to a later one: probes and configuration in the same batch were lost with it, and the sender would have taken the host for dead.

Cause: messages are NamedTuples, which msgspec writes as arrays; it refuses arrays that are longer than the type.

Change: what cannot be decoded as a whole is decoded message by message, without the items that their types do not have (bodies keep their bytes). One that still cannot be decoded is put aside: counted as `message_put_aside`, logged at most every ten seconds, and listed in the reply. Its sender reports it as not delivered; a probe was delivered, as the host answered. Requests handed over, and replies to them, ignore added items as well. Whole batches of today's build are decoded as before, by one call.

Faults put in by hand, each seen to fail a test: no trimming; trimming only the outer array; refusing the batch; a put-aside probe reported as undelivered; no report at all; a log line for each batch; the relayed request read strictly.

--- a/burdockmill/clients/peer_client.py
+++ b/burdockmill/clients/peer_client.py
@@ -5,7 +5,7 @@
 import asyncio
 import zlib
 from collections import Counter, OrderedDict, deque
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, cast
 
 import msgspec
 from aiohttp import ClientConnectorError, ClientError
@@ -15,43 +15,15 @@
 from burdockmill.clients.no_retry_session import NoRetrySession
 from burdockmill.errors import Ran
 from burdockmill.explanation import Explanation
-from burdockmill.messages.catalog import CatalogRequest, CatalogResponse
+from burdockmill.messages.batch import BatchReply, make_batch
 from burdockmill.messages.events import PeerDelivered, PeerUnreachable
-from burdockmill.messages.fleet import (
-    ChunkRequest,
-    ChunkText,
-    IndirectProbeRequest,
-    IndirectProbeSucceeded,
-    Probe,
-    RelayUpdates,
-    RulesRequest,
-    RulesResponse,
-    SubmitUpdates,
-    SyncRequest,
-    SyncRows,
-)
-from burdockmill.messages.limits import TokenGrant, TokenRequest
-from burdockmill.messages.peer import (
-    ActionCancel,
-    ActionOutcome,
-    ActionRequest,
-    PeerBatch,
-    SessionRequest,
-    SessionResponse,
-    TicketHandover,
-    TicketLocation,
-    TicketOutcome,
-    TicketRedemption,
-    WorkAnswer,
-    WorkCancel,
-    WorkRequest,
-)
-from burdockmill.messages.reach import ReachQuery, ReachReport
-from burdockmill.messages.suspects import SuspectNews, SuspectPoll
+from burdockmill.messages.fleet import Probe, RelayUpdates
+from burdockmill.messages.peer import TicketHandover
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from burdockmill.clients.no_retry_session import HttpResponse
     from burdockmill.messages.events import Event
     from burdockmill.messages.peer import PeerMessage
     from burdockmill.names import Address, HostId, RequestId
@@ -73,41 +45,9 @@
 COMPRESSION_LEVEL = 1
 # The slowest links carry at least this much; large batches get a longer timeout.
 MIN_BYTES_PER_MS = 200
-FIELD_BY_TYPE: dict[type, str] = {
-    WorkRequest: "work_requests",
-    WorkAnswer: "work_answers",
-    WorkCancel: "work_cancels",
-    Probe: "probes",
-    IndirectProbeRequest: "probe_asks",
-    IndirectProbeSucceeded: "probes_reached",
-    SubmitUpdates: "submits",
-    RelayUpdates: "spreads",
-    SyncRequest: "sync_asks",
-    SyncRows: "sync_rows",
-    RulesRequest: "rules_asks",
-    RulesResponse: "rules_offers",
-    ChunkRequest: "chunk_asks",
-    ChunkText: "chunk_texts",
-    CatalogRequest: "catalog_asks",
-    CatalogResponse: "catalog_offers",
-    SessionRequest: "session_asks",
-    SessionResponse: "sessions_told",
-    ActionRequest: "action_requests",
-    ActionCancel: "action_cancels",
-    ActionOutcome: "action_outcomes",
-    TicketRedemption: "ticket_uses",
-    TicketOutcome: "ticket_outcomes",
-    TicketLocation: "ticket_homes",
-    TicketHandover: "ticket_handovers",
-    TokenRequest: "token_requests",
-    TokenGrant: "token_grants",
-    SuspectNews: "suspect_news",
-    SuspectPoll: "suspect_polls",
-    ReachQuery: "reach_queries",
-    ReachReport: "reach_reports",
-}
 DELIVERY_CONFIRMED_TYPES = (Probe, RelayUpdates, TicketHandover)
 
+_REPLY_DECODER = msgspec.json.Decoder(BatchReply)
 _EXPLANATION_DECODER = msgspec.json.Decoder(Explanation)
 
 
@@ -209,7 +149,7 @@
         messages = [queue.pending.popleft() for _ in range(size)]
         try:
             body = msgspec.json.encode(make_batch(self._sender, messages))
-            status = await self._post(queue, body)
+            response = await self._post(queue, body)
         except ClientConnectorError:
             self.counts["connect_failed"] += 1
             self._report_undelivered(queue.host, messages, Ran.NO)
@@ -223,14 +163,15 @@
         else:
             self.counts["batches"] += 1
             self.counts["messages"] += len(messages)
-            if status == OK:
-                self._confirm(queue.host, messages)
+            if response.status == OK:
+                self._confirm(queue.host, messages, response.body)
             else:
                 self.counts["refused"] += 1
-                ran = Ran.NO if status == NOTHING_ACCEPTED else Ran.UNKNOWN
+                is_certain = response.status == NOTHING_ACCEPTED
+                ran = Ran.NO if is_certain else Ran.UNKNOWN
                 self._report_undelivered(queue.host, messages, ran)
 
-    async def _post(self, queue: _PeerQueue, body: bytes) -> int:
+    async def _post(self, queue: _PeerQueue, body: bytes) -> HttpResponse:
         headers = self._headers
         if len(body) > COMPRESSION_THRESHOLD_BYTES:
             body = zlib.compress(body, COMPRESSION_LEVEL)
@@ -239,16 +180,40 @@
         async with asyncio.timeout(timeout_ms / MILLISECONDS_PER_SECOND):
             if queue.host in self.blocked_hosts:
                 await asyncio.Event().wait()
-            response = await self._session_of(queue.address).post(
+            return await self._session_of(queue.address).post(
                 BATCH_PATH, body, lambda: headers
             )
-        return response.status
 
-    def _confirm(self, host: HostId, messages: list[PeerMessage]) -> None:
+    def _confirm(self, host: HostId, messages: list[PeerMessage], body: bytes) -> None:
+        """Report messages as delivered, and those that the host put aside as not.
+
+        A probe was delivered in any case: the host answered.
+        """
+        put_aside = self._put_aside(messages, body)
+        self.counts["put_aside"] += len(put_aside)
         for message in messages:
-            if isinstance(message, DELIVERY_CONFIRMED_TYPES):
+            if id(message) in put_aside and not isinstance(message, Probe):
+                self._report_undelivered(host, [message], Ran.NO)
+            elif isinstance(message, DELIVERY_CONFIRMED_TYPES):
                 self._emit(PeerDelivered(host, message))
 
+    def _put_aside(self, messages: list[PeerMessage], body: bytes) -> frozenset[int]:
+        """Return the identities of messages that the receiver could not decode."""
+        try:
+            indexes_by_field = _REPLY_DECODER.decode(body).get("put_aside", {})
+        except (msgspec.MsgspecError, UnicodeError, RecursionError):
+            self.counts["reply_malformed"] += 1
+            return frozenset()
+        if not indexes_by_field:
+            return frozenset()
+        batch = cast("dict[str, list[PeerMessage]]", make_batch(self._sender, messages))
+        return frozenset(
+            id(message)
+            for field, indexes in indexes_by_field.items()
+            for index, message in enumerate(batch.get(field, ()))
+            if index in indexes
+        )
+
     def _session_of(self, address: Address) -> NoRetrySession:
         session = self._session_by_address.get(address)
         if session is None:
@@ -279,21 +244,3 @@
     def _report_undelivered_soon(self, host: HostId, message: PeerMessage) -> None:
         loop = asyncio.get_running_loop()
         loop.call_soon(self._report_undelivered, host, [message], Ran.NO)
-
-
-def make_batch(sender: HostId, messages: list[PeerMessage]) -> PeerBatch:
-    """Sort messages into the fields of a batch by their type."""
-    batch = PeerBatch(sender=sender)
-    for message in messages:
-        field = FIELD_BY_TYPE[type(message)]
-        batch.setdefault(field, []).append(message)  # type: ignore[misc]
-    return batch
-
-
-def messages_in(batch: PeerBatch) -> list[PeerMessage]:
-    """Return all messages of a batch, in the order of FIELD_BY_TYPE."""
-    return [
-        message
-        for field in FIELD_BY_TYPE.values()
-        for message in batch.get(field, ())  # type: ignore[attr-defined]
-    ]
--- a/burdockmill/forwarding_node.py
+++ b/burdockmill/forwarding_node.py
@@ -15,7 +15,7 @@
 from burdockmill._forwarding_stop import ForwardingStop
 from burdockmill._line_writer import LineWriter
 from burdockmill.clients.catalog_reader import CatalogReader
-from burdockmill.clients.peer_client import PeerClient, messages_in
+from burdockmill.clients.peer_client import PeerClient
 from burdockmill.clock import BootClock
 from burdockmill.decision_log import DecisionLog
 from burdockmill.engine_pump import EnginePump
@@ -25,6 +25,7 @@
 from burdockmill.forwarding.routes import IngressLimits
 from burdockmill.forwarding.upstream_notices import Incarnation
 from burdockmill.messages.actions import Announce, LogDecision, SendToPeer
+from burdockmill.messages.batch import messages_in
 from burdockmill.messages.events import (
     CatalogChanged,
     HostStarted,
--- a/burdockmill/node.py
+++ b/burdockmill/node.py
@@ -16,7 +16,7 @@
 from burdockmill._host_reports import HostReports
 from burdockmill._pause_guard import PauseGuard
 from burdockmill._waiters import Waiters
-from burdockmill.clients.peer_client import PeerClient, messages_in
+from burdockmill.clients.peer_client import PeerClient
 from burdockmill.clients.platform_client import PlatformClient
 from burdockmill.clients.platform_reader import PlatformReader
 from burdockmill.clients.upstream_client import UpstreamClient
@@ -26,6 +26,7 @@
 from burdockmill.engine_pump import EnginePump
 from burdockmill.errors import BurdockmillError, StoppingError
 from burdockmill.messages.actions import Announce, SendToPeer
+from burdockmill.messages.batch import messages_in
 from burdockmill.messages.events import (
     CallerDisconnected,
     HostStarted,
--- a/burdockmill/relay/messages.py
+++ b/burdockmill/relay/messages.py
@@ -12,6 +12,7 @@
 
 from burdockmill.errors import BadRequestError, BurdockmillError, Ran
 from burdockmill.forwarding.messages import Headers, MergedAnswer, UpstreamAnswer
+from burdockmill.messages.tolerant_decoder import TolerantDecoder
 from burdockmill.names import HostId, RequestId
 
 if TYPE_CHECKING:
@@ -86,8 +87,8 @@
     retry_after_ms: int | None = None
 
 
-_REQUEST_DECODER = msgspec.json.Decoder(RelayedRequest)
-_REPLY_DECODER = msgspec.json.Decoder(RelayReply)
+_REQUEST_DECODER = TolerantDecoder(RelayedRequest)
+_REPLY_DECODER = TolerantDecoder(RelayReply)
 
 
 def encode(head: RelayedRequest | RelayReply, body: bytes) -> bytes:
--- a/burdockmill/surfaces/peer.py
+++ b/burdockmill/surfaces/peer.py
@@ -2,23 +2,56 @@
 
 from __future__ import annotations
 
+import asyncio
 import hmac
+from collections import Counter
 from typing import TYPE_CHECKING
 
-import msgspec
 from aiohttp import web
+from loguru import logger
 
-from burdockmill.errors import BadRequestError, WrongPeerKeyError
-from burdockmill.messages.peer import PeerBatch
+from burdockmill.errors import WrongPeerKeyError
+from burdockmill.messages.batch import BatchReply
+from burdockmill.surfaces._batch_decoder import decode_batch
 from burdockmill.surfaces._http import error_middleware, json_response
 
 if TYPE_CHECKING:
+    from burdockmill.surfaces._batch_decoder import DecodedBatch
     from burdockmill.surfaces.host_gateway import HostGateway
 
 PEER_KEY_HEADER = "Peer-Key"
 BATCH_LIMIT_BYTES = 64 * 1024 * 1024
-
-_BATCH_DECODER = msgspec.json.Decoder(PeerBatch)
+PUT_ASIDE = "message_put_aside"
+# Messages that can't be decoded are logged together, at most this often.
+LOG_INTERVAL_S = 10.0
+CAUSE_LIMIT = 200
+
+
+class _PutAsideLog:
+    """Count the messages that could not be decoded, and log them now and then."""
+
+    def __init__(self, gateway: HostGateway) -> None:
+        self._gateway = gateway
+        self._unlogged: Counter[str] = Counter()
+        self._next_log_s = 0.0
+
+    def add(self, decoded: DecodedBatch) -> None:
+        """Count the messages that a batch's decoding put aside."""
+        for field, indexes in decoded.put_aside.items():
+            self._unlogged[field] += len(indexes)
+            for _ in indexes:
+                self._gateway.count_refusal("peer", PUT_ASIDE)
+        now_s = asyncio.get_running_loop().time()
+        if now_s < self._next_log_s:
+            return
+        self._next_log_s = now_s + LOG_INTERVAL_S
+        logger.warning(
+            "peer: put messages aside that can't be decoded: {}; the last of {}, {}.",
+            dict(self._unlogged),
+            decoded.batch["sender"],
+            decoded.cause[:CAUSE_LIMIT],
+        )
+        self._unlogged.clear()
 
 
 def peer_app(gateway: HostGateway) -> web.Application:
@@ -28,11 +61,16 @@
         client_max_size=BATCH_LIMIT_BYTES,
     )
     expected = gateway.host_settings.peer_key.encode()
+    put_aside_log = _PutAsideLog(gateway)
 
     async def receive_batch(request: web.Request) -> web.Response:
         check_peer_key(request, expected)
-        batch = _decode(await request.read())
-        return json_response({"accepted": gateway.receive_batch(batch)})
+        decoded = decode_batch(await request.read())
+        reply = BatchReply(accepted=gateway.receive_batch(decoded.batch))
+        if decoded.put_aside:
+            put_aside_log.add(decoded)
+            reply["put_aside"] = decoded.put_aside
+        return json_response(reply)
 
     async def explain(request: web.Request) -> web.Response:
         check_peer_key(request, expected)
@@ -52,13 +90,3 @@
     key = request.headers.get(PEER_KEY_HEADER, "").encode(errors="surrogateescape")
     if not hmac.compare_digest(key, expected):
         raise WrongPeerKeyError("The peer key does not match.")
-
-
-def _decode(body: bytes) -> PeerBatch:
-    try:
-        batch = _BATCH_DECODER.decode(body)
-    except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
-        raise BadRequestError(f"The batch is malformed: {error}.") from error
-    if not batch.get("sender"):
-        raise BadRequestError("The batch has no sender.")
-    return batch
--- a/measure/_fleet_run.py
+++ b/measure/_fleet_run.py
@@ -12,8 +12,9 @@
 import msgspec
 from aiohttp import web
 
-from burdockmill.clients.peer_client import PeerClient, make_batch
+from burdockmill.clients.peer_client import PeerClient
 from burdockmill.messages.actions import Announce, LogDecision
+from burdockmill.messages.batch import make_batch
 from burdockmill.messages.events import (
     HealthRead,
     HostStarted,
--- a/measure/data_path.py
+++ b/measure/data_path.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
-from burdockmill.clients.peer_client import make_batch
 from burdockmill.errors import Ran
+from burdockmill.messages.batch import make_batch
 from burdockmill.messages.events import HealthRead, RequestReceived, RulesAccepted
 from burdockmill.messages.peer import (
     Hit,
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -5,12 +5,13 @@
 import pytest
 import pytest_asyncio
 
-from burdockmill.clients.peer_client import FIELD_BY_TYPE, PeerClient
+from burdockmill.clients.peer_client import PeerClient
 from burdockmill.clients.platform_client import PlatformClient
 from burdockmill.clients.upstream_client import UpstreamClient
 from burdockmill.clock import MonotonicClock
 from burdockmill.errors import PlatformUnreachableError, Ran
 from burdockmill.messages.actions import CancelAtUpstream, ClosePool, ReadHealth
+from burdockmill.messages.batch import FIELD_BY_TYPE
 from burdockmill.messages.events import (
     HealthRead,
     PeerUnreachable,
