Soak: judge planned stops in runs too

Cause: LOST leaves out stops beside impairments, and each stop is entered as an impairment of its own host, which overlaps itself. So no stop of a run was ever judged; the test's record had the stop without that entry.

Change: planned work is no such impairment. The test's record has the entry as a run writes it; it failed before.

--- a/soak/check_times.py
+++ b/soak/check_times.py
@@ -28,6 +28,8 @@
 DESCRIPTORS_LIMIT = 1_000
 LEAST_LIFE_MS = 60_000.0
 STORE_KINDS = ("store_pause", "store_copy")
+# Planned work excuses no request that it cuts off.
+PLANNED_KINDS = ("stop", "build")
 
 
 def is_in_touch(record: RunRecord, host: int, from_ms: float, to_ms: float) -> bool:
@@ -46,6 +48,7 @@
         if any(
             one.from_ms <= to_ms and one.to_ms >= stop.at_ms - STABLE_MS
             for one in record.impairments
+            if one.kind not in PLANNED_KINDS
         ):
             continue
         arrived = {one.id for one in record.arrivals}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -94,10 +94,12 @@
 def test_a_request_that_a_planned_stop_cuts_off_is_found(builder, is_calm, rules):
     attempt = builder.first(Route.SINGLE)
     builder.change(attempt, status=0, ended_ms=attempt.sent_ms + 20.0)
-    builder.changed = {"stops": [Stop(0, attempt.sent_ms + 1.0, 3_000.0)]}
+    stopped = Impairment(attempt.sent_ms + 1.0, 4_000.0, "stop", 0)
+    builder.changed = {"stops": [Stop(0, stopped.from_ms, 3_000.0)]}
+    builder.changed["impairments"] = [stopped]
     if not is_calm:
         impairment = Impairment(attempt.sent_ms, attempt.sent_ms, "link clients", 1)
-        builder.changed["impairments"] = [impairment]
+        builder.changed["impairments"].append(impairment)
     assert rules_of(builder) == rules
 
 
