Soak: replace hosts by another build and back, under traffic

Change: `--previous COMMIT` (`make soak PREVIOUS=COMMIT`) starts the hosts with that commit's code, taken from the history into a folder that is removed at the end; each host tells from where its code is, and the run ends if that is another. The hosts are replaced by the current build one after the other, and back, by planned stops. Each way, while both builds run: a moved route, a leaving upstream, a named limit, links cut so that requests are handed over, and a request that ends each upstream that runs it. New checks: LIMIT (a named limit is kept in sum) and SUSPECT (such a request is held back). Without `--previous` plans and runs are as before.

Faults put in by hand, each seen to fail a test: a limit of one request a second with the usual load; a ninth upstream ended by one request.

--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,8 @@
 MINUTES ?= 2
 HOSTS ?= 3
 soak: venv
-	$(BIN)/python -m soak --seed $(SEED) --minutes $(MINUTES) --hosts $(HOSTS)
+	$(BIN)/python -m soak --seed $(SEED) --minutes $(MINUTES) --hosts $(HOSTS) \
+		$(if $(PREVIOUS),--previous $(PREVIOUS))
 
 measure: venv
 	$(BIN)/python -m measure
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,12 +5,15 @@
 import asyncio
 import tempfile
 from collections import Counter
+from contextlib import nullcontext
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
 from soak.checks import find_violations
+from soak.plan import RunOptions
+from soak.previous_build import PreviousBuild
 from soak.run import SoakRun
 
 MILLISECONDS_PER_MINUTE = 60_000.0
@@ -23,15 +26,22 @@
     minutes: Annotated[float, typer.Option(min=LEAST_MINUTES)] = 2.0,
     hosts: Annotated[int, typer.Option(min=2, max=100)] = 3,
     folder: Annotated[Path | None, typer.Option(help="Where logs go.")] = None,
+    previous: Annotated[
+        str, typer.Option(help="A commit: replace its hosts by this build, and back.")
+    ] = "",
+    calm: Annotated[bool, typer.Option(help="Leave the seed's faults out.")] = False,
 ) -> None:
     """Run hosts as processes, put faults in, and list the rules that were broken."""
     folder = folder or Path(tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
-    run = SoakRun(seed, minutes * MILLISECONDS_PER_MINUTE, hosts, folder)
-    print(run.site)
-    for step in run.plan:
-        print(step)
-    record = asyncio.run(run.run())
+    duration_ms = minutes * MILLISECONDS_PER_MINUTE
+    with PreviousBuild(previous) if previous else nullcontext() as code:
+        options = RunOptions(code, calm)
+        run = SoakRun(seed, duration_ms, hosts, folder, options)
+        print(run.site)
+        for step in run.plan:
+            print(step)
+        record = asyncio.run(run.run())
     statuses = Counter(one.status for one in record.attempts)
     print(
         f"{len(record.attempts)} attempts by status: {dict(statuses)}; logs: {folder}"
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -13,6 +13,7 @@
     check_stops,
     check_versions,
 )
+from soak.check_upstreams import check_limits, check_suspects
 from soak.records import RunRecord
 from soak.violation import Violation
 
@@ -28,6 +29,8 @@
     check_repeats,
     check_recovery,
     check_processes,
+    check_limits,
+    check_suspects,
 )
 
 
--- a/soak/child_process.py
+++ b/soak/child_process.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 LineReader = Callable[[dict[str, Any]], None]
@@ -24,14 +25,22 @@
         self._reading: asyncio.Task[None] | None = None
         self.is_end_expected = False
 
-    async def start(self, module: str, *words: str, **environment: str) -> None:
-        """Start a module with words and additional environment variables."""
+    async def start(
+        self, module: str, *words: str, code: Path | None = None, **environment: str
+    ) -> None:
+        """Start a module with words and additional environment variables.
+
+        `code` is a folder with another build of the code, in place of the current one.
+        """
+        if code is not None:
+            environment["PYTHONPATH"] = str(code)
         self.is_end_expected = False
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             module,
             *words,
+            cwd=code,
             env={**os.environ, **environment},
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
@@ -47,6 +56,11 @@
             return None
         return process.pid
 
+    @property
+    def has_ended_by_itself(self) -> bool:
+        """Return whether the process ended without having been told to."""
+        return self.pid is None and not self.is_end_expected
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal if the process runs."""
         if self._process is not None and self.pid is not None:
--- a/soak/host.py
+++ b/soak/host.py
@@ -1,17 +1,20 @@
 """Run a host of the users' platform whose connections go through proxies.
 
-PROXIES maps the addresses that it connects to, as JSON.
+PROXIES maps the addresses that it connects to, as JSON. The first line tells which
+folder the code is from. Hosts of earlier builds are started by a copy of this module.
 """
 
 import json
 import os
 import socket
 from collections.abc import Sequence
+from pathlib import Path
 from typing import Any
 
 import aiohappyeyeballs
 from aiohappyeyeballs import AddrInfoType
 
+import burdockmill
 from burdockmill.platform.daemon import main
 
 PROXIES = "PROXIES"
@@ -35,5 +38,7 @@
 
 
 if __name__ == "__main__":
+    code = Path(burdockmill.__file__).parents[1]
+    print(json.dumps({"code": str(code)}), flush=True)
     aiohappyeyeballs.start_connection = connect_to_proxy
     main()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from pathlib import Path
 from typing import NamedTuple
 
 # The first fault comes once clients are served, the last well before the end.
@@ -41,6 +42,17 @@
 }
 
 
+class RunOptions(NamedTuple):
+    """What a run has beyond the faults of its seed.
+
+    `previous` is the folder of an earlier build, by which hosts are replaced. A calm
+    run has none of the seed's faults.
+    """
+
+    previous: Path | None = None
+    is_calm: bool = False
+
+
 class Site(NamedTuple):
     """What a site is like for a whole run.
 
--- a/soak/records.py
+++ b/soak/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from enum import Enum
 from typing import NamedTuple
 
@@ -79,6 +80,15 @@
     confirmed_ms: float
 
 
+class Limit(NamedTuple):
+    """A limit that an upstream named for a time."""
+
+    upstream: str
+    per_s: int
+    from_ms: float
+    to_ms: float
+
+
 class Configuration(NamedTuple):
     """A version that the store confirmed: its shards, and the moved route's service."""
 
@@ -113,3 +123,4 @@
     samples: list[ProcessSample]
     unexpected_ends: list[str]
     stray_bytes: list[str]
+    limits: Sequence[Limit] = ()
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,12 +10,13 @@
 from pathlib import Path
 from typing import Any
 
-from soak.plan import QUIET_END_MS, Step, draw_plan, draw_site
+from soak.check_times import PLANNED_KINDS
+from soak.plan import QUIET_END_MS, RunOptions, Step, draw_plan, draw_site
+from soak.process_samples import sample_of
 from soak.records import (
     Arrival,
     ClientAttempt,
     Configuration,
-    Departure,
     Impairment,
     ProcessSample,
     RunRecord,
@@ -25,6 +26,8 @@
 from soak.soak_host import SoakHost
 from soak.soak_upstream import UpstreamPlace
 from soak.store_client import StoreClient
+from soak.upgrade_plan import PREVIOUS, draw_upgrade
+from soak.upstream_faults import UpstreamFaults
 from tests.builders_platform import configuration_of, search_route, single_route
 
 ZONES = ("waw-a", "krk-a")
@@ -34,19 +37,29 @@
 CLIENTS_PER_HOST = 3
 SETTLE_S = 2.0
 SAMPLE_S = 1.0
-DRAIN_S = 3.5
-AWAY_S = 2.2
-UNREGISTER_S = 0.8
 REWRITE_S = 0.3
+BUSY_S = 0.1
 VERSION_STEP = 2
 
 
 class SoakRun:
     """Run hosts, upstreams, a store and clients as processes and tasks."""
 
-    def __init__(self, seed: int, duration_ms: float, hosts: int, folder: Path) -> None:
+    def __init__(
+        self,
+        seed: int,
+        duration_ms: float,
+        hosts: int,
+        folder: Path,
+        options: RunOptions,
+    ) -> None:
         self.site = draw_site(seed)
-        self.plan = draw_plan(seed, duration_ms, hosts, len(SERVICES) * len(ZONES))
+        sizes = (duration_ms, hosts, len(SERVICES) * len(ZONES))
+        plan = () if options.is_calm else draw_plan(seed, *sizes)
+        if options.previous is not None:
+            plan = (*plan, *draw_upgrade(seed, *sizes))
+        self.plan = tuple(sorted(plan))
+        self._previous = options.previous
         self._seed = seed
         self._duration_ms = duration_ms
         self._store = StoreClient()
@@ -56,7 +69,6 @@
         self._arrivals: list[Arrival] = []
         self._impairments: list[Impairment] = []
         self._stops: list[Stop] = []
-        self._departures: list[Departure] = []
         self._configurations: list[Configuration] = []
         self._samples: list[ProcessSample] = []
         self._versions = itertools.count(1, VERSION_STEP)
@@ -65,10 +77,13 @@
         self._hosts = [
             SoakHost(number, folder, self._ends.append) for number in range(hosts)
         ]
+        for host in self._hosts:
+            host.code = options.previous
         self._places = [
             UpstreamPlace(service, number, zone, self._arrived)
             for service, (number, zone) in itertools.product(SERVICES, enumerate(ZONES))
         ]
+        self._upstreams = UpstreamFaults(self._places, self._store, self._impair)
 
     async def run(self) -> RunRecord:
         """Run the plan; return all that was seen."""
@@ -92,11 +107,12 @@
                 self._arrivals,
                 self._impairments,
                 self._stops,
-                self._departures,
+                self._upstreams.departures,
                 self._configurations,
                 self._samples,
                 self._ends,
                 self._stray,
+                self._upstreams.limits,
             )
 
     async def _start(self, stack: AsyncExitStack) -> None:
@@ -119,19 +135,21 @@
         await asyncio.sleep(SETTLE_S)
 
     def _start_clients(self, to_ms: float) -> list[asyncio.Task[None]]:
-        addresses = [host.clients.address for host in self._hosts]
         clients = [
-            SoakClient(
-                f"c{number}",
-                self._seed,
-                addresses,
-                self._attempts.append,
-                self._stray.append,
-            )
+            self._client(f"c{number}")
             for number in range(CLIENTS_PER_HOST * len(self._hosts))
         ]
         return [asyncio.create_task(one.run(to_ms)) for one in clients]
 
+    def _client(self, name: str) -> SoakClient:
+        return SoakClient(
+            name,
+            self._seed,
+            [host.clients.address for host in self._hosts],
+            self._attempts.append,
+            self._stray.append,
+        )
+
     @property
     def _seeds(self) -> Sequence[str]:
         return [host.peer for host in self._hosts[:3]]
@@ -164,7 +182,7 @@
             for host in self._hosts:
                 host.check_running()
                 if host.pid is not None:
-                    self._samples += _sample_of(host.number, host.pid)
+                    self._samples += sample_of(host.number, host.pid)
             await asyncio.sleep(SAMPLE_S)
 
     # Faults.
@@ -176,6 +194,8 @@
                 await self._harm_links(step)
             case "stop" | "kill":
                 await self._end_host(step)
+            case "build":
+                await self._replace_build(step)
             case "power_loss":
                 await asyncio.gather(
                     *(
@@ -191,7 +211,12 @@
             case "upstream_pause":
                 await self._pause(self._places[step.number], step, None)
             case "upstream_kill" | "upstream_leave":
-                await self._replace(step)
+                await self._upstreams.replace(step)
+            case "limit":
+                await self._upstreams.limit(step)
+            case "suspect":
+                client = self._client(f"suspect-{step.at_ms:.0f}")
+                await self._upstreams.suspect(step, client)
             case "move_route":
                 self._moved = 1 - self._moved
                 await self._publish()
@@ -221,7 +246,7 @@
             return
         host.is_busy = True
         began_ms = now_ms()
-        if step.kind == "stop":
+        if step.kind in PLANNED_KINDS:
             await host.stop()
             self._stops.append(Stop(step.number, began_ms, now_ms()))
         else:
@@ -231,6 +256,14 @@
         self._impair(step, began_ms, step.number)
         host.is_busy = False
 
+    async def _replace_build(self, step: Step) -> None:
+        """Replace a host by one of another build, as planned work."""
+        host = self._hosts[step.number]
+        host.code = self._previous if step.how == PREVIOUS else None
+        while host.is_busy:
+            await asyncio.sleep(BUSY_S)
+        await self._end_host(step)
+
     async def _pause(
         self,
         paused: SoakHost | UpstreamPlace | StoreClient,
@@ -243,31 +276,6 @@
         paused.signal(signal.SIGCONT)
         self._impair(step, began_ms, host)
 
-    async def _replace(self, step: Step) -> None:
-        place = self._places[step.number]
-        if place.is_busy:
-            return
-        place.is_busy = True
-        began_ms = now_ms()
-        if step.kind == "upstream_leave":
-            place.leave()
-            await self._store.put(place.key, place.entry("draining"))
-            self._departures.append(Departure(place.name, now_ms()))
-            await asyncio.sleep(DRAIN_S)
-            await self._store.remove(place.key)
-            await asyncio.sleep(UNREGISTER_S)
-            await place.kill()
-        else:
-            await place.kill()
-            await asyncio.sleep(UNREGISTER_S)
-            await self._store.remove(place.key)
-        await asyncio.sleep(AWAY_S)
-        await place.start()
-        await self._store.put(place.key, place.entry())
-        if step.kind == "upstream_kill":
-            self._impair(step, began_ms, None)
-        place.is_busy = False
-
     async def _restart_store(self, step: Step) -> None:
         began_ms = now_ms()
         await self._store.restart_from_copy()
@@ -277,17 +285,3 @@
                 await self._store.put(place.key, place.entry())
         await self._publish()
         self._impair(step, began_ms, None)
-
-
-def _sample_of(host: int, pid: int) -> list[ProcessSample]:
-    """Return what a process holds, nothing if it has just ended."""
-    try:
-        status = Path(f"/proc/{pid}/status").read_text()
-        descriptors = len(list(Path(f"/proc/{pid}/fd").iterdir()))
-    except OSError:
-        return []
-    for line in status.splitlines():
-        if line.startswith("VmRSS:"):
-            memory_kb = int(line.split()[1])
-            return [ProcessSample(now_ms(), host, pid, memory_kb, descriptors)]
-    return []
--- a/soak/soak_client.py
+++ b/soak/soak_client.py
@@ -81,6 +81,13 @@
             await asyncio.sleep(self._rng.uniform(0.5, 1.5) * THINK_S)
         self._close()
 
+    async def send_once(self, route: Route, target: str) -> None:
+        """Send one request on a new connection, and record it."""
+        self._close()
+        attempt, _ = await self._attempt(route, target, "whole", True)
+        if attempt is not None:
+            self._record(attempt)
+
     async def _ask(self) -> None:
         route = self._rng.choices(
             list(WEIGHT_BY_ROUTE), list(WEIGHT_BY_ROUTE.values())
--- a/soak/soak_host.py
+++ b/soak/soak_host.py
@@ -16,6 +16,7 @@
 from tests.builders_platform import settings_of
 
 FIRST_INDEX = 10
+CURRENT_CODE = Path(__file__).parents[1]
 START_LIMIT_S = 20.0
 # SIGKILL follows SIGTERM after the grace time; a host ends before that.
 GRACE_S = 3.0
@@ -34,11 +35,14 @@
         self.ingress, self.ready, self.peer = (free_address(index) for _ in range(3))
         self.clients = LinkProxy(free_address(index), self.ingress)
         self.is_busy = False
+        # The folder of an earlier build, None for the current one.
+        self.code: Path | None = None
         self._proxies_by_side: dict[str, list[LinkProxy]] = {"clients": [self.clients]}
         self._path = folder / f"host-{number}.conf"
         self._log = (folder / f"host-{number}.jsonl").open("w")
         self._on_unexpected_end = on_unexpected_end
         self._serving = asyncio.Event()
+        self._code_that_runs = ""
         self._process = ChildProcess(self._read)
 
     @property
@@ -76,13 +80,17 @@
         proxies = [*self.proxies("upstreams"), *self.proxies("peers")]
         proxy_by_address = {one.target: one.address for one in proxies}
         self._serving.clear()
+        code = self.code
         await self._process.start(
             "soak.host",
+            code=code,
             BURDOCKMILL_CONFIG=str(self._path),
             **{PROXIES: json.dumps(proxy_by_address)},
         )
         async with asyncio.timeout(START_LIMIT_S):
             await self._serving.wait()
+        if self._code_that_runs != str(code or CURRENT_CODE):
+            raise RuntimeError(f"host {self.number} runs {self._code_that_runs}")
 
     async def stop(self) -> None:
         """Stop the process as planned work does."""
@@ -109,7 +117,7 @@
 
     def check_running(self) -> None:
         """Report the process if it ended by itself."""
-        if self.pid is None and not self._process.is_end_expected:
+        if self._process.has_ended_by_itself:
             self._process.is_end_expected = True
             self._on_unexpected_end(f"host {self.number} ended by itself")
 
@@ -118,5 +126,7 @@
 
     def _read(self, line: dict[str, Any]) -> None:
         self._log.write(json.dumps(line) + "\n")
+        if "code" in line:
+            self._code_that_runs = line["code"]
         if "serves clients" in line.get("message", ""):
             self._serving.set()
--- a/soak/soak_upstream.py
+++ b/soak/soak_upstream.py
@@ -68,3 +68,12 @@
     def leave(self) -> None:
         """Let the upstream say that it is leaving."""
         self._process.write_line("leave")
+
+    def limit(self, limit_per_s: int) -> None:
+        """Let the upstream name a limit; 0 ends it."""
+        self._process.write_line(f"limit {limit_per_s}")
+
+    @property
+    def has_crashed(self) -> bool:
+        """Return whether the process ended by itself."""
+        return self._process.has_ended_by_itself
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -1,6 +1,8 @@
 """Run a stand-in of an upstream as a process; it writes what arrives, line by line.
 
-A line `leave` on its standard input makes it say that it is leaving.
+A line `leave` on its standard input makes it say that it is leaving; `limit 5` makes it
+name a limit of five requests a second, and reject those beyond it; `limit 0` ends that.
+A request whose target contains DEADLY ends the process.
 """
 
 from __future__ import annotations
@@ -8,12 +10,20 @@
 import asyncio
 import hashlib
 import json
+import os
 import sys
 import time
+from collections import deque
+from http import HTTPStatus
 from typing import NamedTuple
 
+OK = HTTPStatus.OK
+# An upstream rejects what is far beyond its limit in one second.
+LIMIT_FACTOR = 3
 RECORDS, RECORD_BYTES = 12, 16
 HEAD_END = b"\r\n\r\n"
+DEADLY = "deadly"
+MILLISECONDS_PER_SECOND = 1_000
 
 
 class Request(NamedTuple):
@@ -45,6 +55,8 @@
         self._service = service
         self._work_ms = work_ms
         self._is_leaving = False
+        self._limit_per_s = 0
+        self._taken_ms: deque[float] = deque()
 
     async def run(self, address: str) -> None:
         """Serve until the process ends."""
@@ -61,41 +73,64 @@
         line = sys.stdin.readline()
         if not line:
             asyncio.get_running_loop().remove_reader(sys.stdin)
-        self._is_leaving = self._is_leaving or line.strip() == "leave"
+        match line.split():
+            case ["leave"]:
+                self._is_leaving = True
+            case ["limit", limit_per_s]:
+                self._limit_per_s = int(limit_per_s)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         try:
             while request := await _read(reader):
-                is_mine = request.headers.get("x-burdockmill-expect-instance")
-                ran = is_mine in (None, self._name)
-                self._write_line(request, ran)
-                if ran:
-                    await asyncio.sleep(self._work_ms / 1_000)
-                writer.write(self._answer(request, ran))
+                status = self._status_of(request)
+                self._write_line(request, status is OK)
+                if DEADLY in request.target and status is OK:
+                    os._exit(1)
+                if status is OK:
+                    await asyncio.sleep(self._work_ms / MILLISECONDS_PER_SECOND)
+                writer.write(self._answer(request, status))
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
             writer.close()
 
-    def _answer(self, request: Request, ran: bool) -> bytes:
+    def _status_of(self, request: Request) -> HTTPStatus:
+        expected = request.headers.get("x-burdockmill-expect-instance", self._name)
+        if expected != self._name:
+            return HTTPStatus.MISDIRECTED_REQUEST
+        return OK if self._takes_one_more() else HTTPStatus.TOO_MANY_REQUESTS
+
+    def _takes_one_more(self) -> bool:
+        """Return whether a request is within the limit of the last second."""
+        if not self._limit_per_s:
+            return True
+        now_ms = time.monotonic() * MILLISECONDS_PER_SECOND
+        while self._taken_ms and self._taken_ms[0] < now_ms - MILLISECONDS_PER_SECOND:
+            self._taken_ms.popleft()
+        self._taken_ms.append(now_ms)
+        return len(self._taken_ms) <= LIMIT_FACTOR * self._limit_per_s
+
+    def _answer(self, request: Request, status: HTTPStatus) -> bytes:
         body = b""
-        if ran:
+        if status is OK:
             body = answer_of(
                 self._service, request.method, request.target, request.body
             )
         lines = [
-            "HTTP/1.1 200 OK" if ran else "HTTP/1.1 421 Misdirected Request",
+            f"HTTP/1.1 {status.value} {status.phrase}",
             f"Content-Length: {len(body)}",
             f"X-Burdockmill-Request-Id: {request.id}",
             f"X-Burdockmill-Server-Stamp: {self._name}.{request.id}",
         ]
-        if not ran:
+        if status is not OK:
             lines.append("X-Burdockmill-Not-Executed: 1")
         if self._is_leaving:
             lines.append("Server-Leaving: 1")
+        if self._limit_per_s:
+            lines.append(f"Server-Limit: {self._limit_per_s}")
         return "\r\n".join(lines).encode() + HEAD_END + body
 
     def _write_line(self, request: Request, ran: bool) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,14 +4,17 @@
 
 from soak.checks import find_violations
 from soak.plan import QUIET_END_MS, draw_plan, draw_site
+from soak.previous_build import ROOT, PreviousBuild
 from soak.records import (
     Configuration,
     Departure,
     Impairment,
+    Limit,
     ProcessSample,
     Route,
     Stop,
 )
+from soak.upgrade_plan import CURRENT, MIXED_KINDS, PREVIOUS, draw_upgrade
 from tests.builders_soak import CONFIGURATION, RecordBuilder
 
 
@@ -144,6 +147,26 @@
     assert rules_of(builder) == {rule}
 
 
+def test_a_limit_that_is_not_kept_is_found(builder):
+    limit = Limit("u-c-0", 1, 0.0, 60_000.0)
+    builder.changed = {"limits": [limit]}
+    assert rules_of(builder) == {"LIMIT"}
+    builder.changed = {"limits": [limit._replace(per_s=5)]}
+    assert not rules_of(builder)
+
+
+@pytest.mark.parametrize(("crashes", "rules"), [(8, set()), (9, {"SUSPECT"})])
+def test_a_request_that_ends_one_upstream_after_the_other_is_found(
+    builder, crashes, rules
+):
+    for number in range(crashes):
+        builder.serve(f"deadly-{number}", Route.SINGLE, 1_000.0 * number)
+        attempt = builder.of(f"deadly-{number}")
+        builder.change(attempt, target="/fetch/deadly", status=502)
+        builder.arrivals[-1] = builder.arrivals[-1]._replace(target="/fetch/deadly")
+    assert rules_of(builder) == rules
+
+
 def test_processes_that_end_or_grow_are_found(builder):
     builder.changed = {"unexpected_ends": ["host 1 ended by itself"]}
     assert rules_of(builder) == {"ENDS"}
@@ -167,3 +190,26 @@
     assert site.idle_routes
     assert site.store_bytes_per_s
     assert "power_loss" in {one.kind for one in plan}
+
+
+@pytest.mark.parametrize("seed", range(1, 21))
+def test_each_host_is_replaced_and_back_with_all_kinds_between(seed):
+    plan = draw_upgrade(seed, 60_000.0, 3, 14)
+    assert plan == draw_upgrade(seed, 60_000.0, 3, 14)
+    builds = [one for one in plan if one.kind == "build"]
+    for half, build in ((builds[:3], CURRENT), (builds[3:], PREVIOUS)):
+        assert {one.number for one in half} == {0, 1, 2}
+        assert {one.how for one in half} == {build}
+        first, last = half[0], half[-1]
+        between = [one for one in plan if first.at_ms <= one.at_ms <= last.at_ms]
+        kinds = {one.side or one.kind for one in between}
+        assert kinds >= {*MIXED_KINDS, "upstreams"} - {"cut"}
+    assert all(one.at_ms + one.for_ms <= 60_000.0 - 10_000.0 for one in plan)
+
+
+def test_a_previous_build_is_taken_from_the_history_and_removed():
+    with PreviousBuild("HEAD") as folder:
+        [*_, line] = (folder / "burdockmill" / "names.py").read_text().splitlines()
+        assert line in (ROOT / "burdockmill" / "names.py").read_text()
+        assert (folder / "soak" / "host.py").exists()
+    assert not folder.exists()
