Start a host whatever a bound in its settings has become

Cause: a bound that was no whole number was dropped and then reported as missing, and a missing or malformed value of any key kept a host from starting.

Change: bounds may be fractions. A value that is missing or malformed is reported, and replaced by the last valid one in a running host, and by a safe default in one that starts; only the host's own addresses and the store's have none. One malformed value keeps no other change from taking effect. Bytes that are no text, a port that is too large and numbers of any size raise nothing. A file that can't be read is reported once until that changes. A malformed listen.control went into a running host's name.

--- a/burdockmill/forwarding/settings.py
+++ b/burdockmill/forwarding/settings.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Any, NamedTuple
+from typing import Annotated, NamedTuple
 
 from msgspec import Meta
-from returns.result import Failure, Result, Success
 
 from burdockmill.names import Address, DomainId, HostId
 from burdockmill.rules.addresses import is_address
@@ -13,12 +12,10 @@
 from burdockmill.settings_fields import (
     CONNECT_ADDRESS_REMEDY,
     Field,
-    SettingProblem,
     are_addresses,
     integer_field,
     listen_field,
     name_field,
-    read_object,
 )
 from burdockmill.tables.rows import MemberRow
 
@@ -75,7 +72,7 @@
 
 
 FIELD_BY_KEY: dict[str, Field] = {
-    "host": Field(str, "give IP:PORT of this host's address for peers", required=True),
+    "host": _contact()._replace(remedy="give IP:PORT of this host's address for peers"),
     "domain": name_field(),
     "region": name_field(),
     "ingress_address": listen_field(),
@@ -104,14 +101,3 @@
     "remembered_decisions": integer_field(0, 1_000_000),
     "log_level": Field(LogLevel, "give DEBUG, INFO, WARNING or ERROR"),
 }
-
-
-def check_forwarding_settings(
-    document: dict[str, Any],
-) -> Result[ForwardingSettings, tuple[SettingProblem, ...]]:
-    """Return the settings, or a problem for each invalid, missing or unknown key."""
-    problems: list[SettingProblem] = []
-    values = read_object("", document, FIELD_BY_KEY, problems)
-    if problems:
-        return Failure(tuple(problems))
-    return Success(ForwardingSettings(**values))
--- a/burdockmill/platform/daemon.py
+++ b/burdockmill/platform/daemon.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, NoReturn
 
-from returns.result import Success
+from loguru import logger
 
 from burdockmill._line_writer import LineWriter
 from burdockmill.fast_start_service import run_until_stopped
@@ -23,12 +23,13 @@
 if TYPE_CHECKING:
     from socket import socket
 
-    from returns.result import Result
-
     from burdockmill.forwarding.settings import ForwardingSettings
     from burdockmill.settings_fields import SettingProblem
+    from burdockmill.settings_reading import SettingsReading
 
 EXIT_BAD_SETTINGS = 2
+# What follows these bytes of the settings file is not read.
+SETTINGS_BYTES_LIMIT = 1_048_576
 
 
 def main(ingress_socket: socket | None = None, started_ms: float | None = None) -> None:
@@ -38,9 +39,11 @@
     BootClock at which the process started.
     """
     path = _settings_path()
-    settings = _read_settings(path)
+    settings, problems = _read_settings(path)
     writer = LineWriter(sys.stdout)
     set_up_logs("json", settings.log_level, writer)
+    for problem in problems:
+        logger.error("settings: {}; a default takes its place.", problem)
     node: ForwardingNode | None = None
 
     def make() -> ForwardingNode:
@@ -53,7 +56,7 @@
         if node is not None:
             node.apply(changed)
 
-    watch = SettingsWatcher(settings, lambda: _parse(path), apply)
+    watch = SettingsWatcher(settings, lambda last: _read(path, last), apply, problems)
     run_until_stopped(make, settings.stop_grace_ms, watch.check)
 
 
@@ -89,18 +92,22 @@
     return Path(path)
 
 
-def _parse(path: Path) -> Result[ForwardingSettings, tuple[SettingProblem, ...]]:
-    return parse_platform_settings(path.read_text(encoding="utf-8"))
+def _read(path: Path, last: ForwardingSettings | None = None) -> SettingsReading:
+    with path.open("rb") as file:
+        text = file.read(SETTINGS_BYTES_LIMIT).decode(errors="replace")
+    return parse_platform_settings(text, last)
 
 
-def _read_settings(path: Path) -> ForwardingSettings:
+def _read_settings(
+    path: Path,
+) -> tuple[ForwardingSettings, tuple[SettingProblem, ...]]:
     try:
-        parsed = _parse(path)
-    except (OSError, UnicodeDecodeError) as error:
+        settings, problems = _read(path)
+    except OSError as error:
         _exit_with_errors(f"cannot read {path}: {error}; check the file")
-    if isinstance(parsed, Success):
-        return parsed.unwrap()
-    _exit_with_errors(*(f"{path}: {problem}" for problem in parsed.failure()))
+    if settings is None:
+        _exit_with_errors(*(f"{path}: {problem}" for problem in problems))
+    return settings, problems
 
 
 def _exit_with_errors(*lines: str) -> NoReturn:
--- a/burdockmill/platform/early_listen.py
+++ b/burdockmill/platform/early_listen.py
@@ -32,7 +32,7 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((host, int(port)))
         sock.listen(BACKLOG)
-    except (OSError, ValueError):
+    except (OSError, OverflowError, ValueError):
         sock.close()
         return None
     sock.setblocking(False)
--- a/burdockmill/platform/settings_file.py
+++ b/burdockmill/platform/settings_file.py
@@ -1,53 +1,40 @@
-"""Parse the platform's settings file."""
+"""Parse the platform's settings file; replace what is missing or malformed."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+import math
+from typing import Any, NamedTuple
 
-from burdockmill.forwarding.settings import (
-    ForwardingSettings,
-    check_forwarding_settings,
-)
-
-if TYPE_CHECKING:
-    from returns.result import Result
-
-    from burdockmill.settings_fields import SettingProblem
+from burdockmill.forwarding.settings import FIELD_BY_KEY, ForwardingSettings
+from burdockmill.rules.addresses import is_address
+from burdockmill.settings_fields import SettingProblem, read_object
+from burdockmill.settings_reading import SettingsReading
 
 # The port for metrics and other operator requests, also set in deploy/system.toml.
 OPERATOR_PORT = 9464
+SEEDS_REMEDY = "give IP:PORT, ... with ports from 1 to 65535; it may be empty"
+MISSING = "it is missing"
+# Characters of a malformed value that a problem shows.
+SHOWN_LENGTH = 80
 MILLISECONDS_PER_SECOND = 1_000
 
 
-def parse_platform_settings(
-    text: str,
-) -> Result[ForwardingSettings, tuple[SettingProblem, ...]]:
-    """Return a host's settings, or all problems; ignore unknown keys."""
-    values = _parse_lines(text)
-    document: dict[str, Any] = {}
-    for key, name in TEXT_BY_KEY.items():
-        if name in values:
-            document[key] = values[name]
-    for key, name in NUMBER_BY_KEY.items():
-        if name in values:
-            document[key] = _parse_number(values[name])
-    numbers = [_parse_number(values.get(name)) for name in CHANGE_LIMITS]
-    limits = [number for number in numbers if isinstance(number, int)]
-    if len(limits) == len(CHANGE_LIMITS):
-        document["change_limit_ms"] = min(limits)
-    for key, name in SECONDS_BY_KEY.items():
-        seconds = _parse_number(values.get(name))
-        if isinstance(seconds, int | float):
-            document[key] = int(seconds * MILLISECONDS_PER_SECOND)
-    document["seeds"] = [seed for seed in values.get("seeds", "").split(",") if seed]
-    document["region_by_domain"] = {
-        name.removeprefix("zones."): region
-        for name, region in values.items()
-        if name.startswith("zones.")
-    }
-    if "ip" in values:
-        document["operator_address"] = f"{values['ip']}:{OPERATOR_PORT}"
-    return check_forwarding_settings(document)
+class Figure(NamedTuple):
+    """Name the entries whose least is a number of the settings, and its bounds.
+
+    `unit` converts an entry to the setting's unit.
+    """
+
+    names: tuple[str, ...]
+    lowest: float
+    highest: float
+    unit: float = 1.0
+    is_whole: bool = True
+
+    @property
+    def remedy(self) -> str:
+        """Return what to write."""
+        return f"give a whole number or a fraction as {' and '.join(self.names)}"
 
 
 # A host is named by its address for peers, the only name that the seeds contain.
@@ -60,17 +47,75 @@
     "peer_address": "listen.control",
     "store_address": "platform.address",
 }
-NUMBER_BY_KEY = {
-    "repeat_ratio": "bounds.retry-ratio",
-    "repeat_allowance": "bounds.retry-extra",
+LONGEST_MS = 600_000
+HIGHEST_RATIO = 1_000.0
+HIGHEST_ALLOWANCE = 1e9
+FIGURE_BY_KEY = {
+    "repeat_ratio": Figure(("bounds.retry-ratio",), 0.0, HIGHEST_RATIO, is_whole=False),
+    "repeat_allowance": Figure(
+        ("bounds.retry-extra",), 0.0, HIGHEST_ALLOWANCE, is_whole=False
+    ),
+    "repeat_window_ms": Figure(
+        ("bounds.retry-window-s",), 100, LONGEST_MS, MILLISECONDS_PER_SECOND
+    ),
+    # Changes of the configuration and of registrations are read and disseminated in
+    # the same way, so the stricter limit applies to both.
+    "change_limit_ms": Figure(
+        ("bounds.config-apply-ms", "bounds.drain-ms"), 100, LONGEST_MS
+    ),
+    "stop_grace_ms": Figure(
+        ("bounds.grace-s",), 0, LONGEST_MS, MILLISECONDS_PER_SECOND
+    ),
 }
-SECONDS_BY_KEY = {
-    "repeat_window_ms": "bounds.retry-window-s",
-    "stop_grace_ms": "bounds.grace-s",
+# What a starting host uses for a value that is missing or malformed: no attempt is
+# repeated, changes are read often, and a stop ends early. Its own addresses and the
+# store's have no default.
+DEFAULT_BY_KEY: dict[str, Any] = {
+    "domain": "unknown",
+    "region": "unknown",
+    "repeat_ratio": 0.0,
+    "repeat_allowance": 0.0,
+    "repeat_window_ms": 60_000,
+    "change_limit_ms": 1_000,
+    "stop_grace_ms": 3_000,
 }
-# Changes of the configuration and of registrations are read and disseminated in the
-# same way, so the stricter limit applies to both.
-CHANGE_LIMITS = ("bounds.config-apply-ms", "bounds.drain-ms")
+
+
+def parse_platform_settings(
+    text: str, last: ForwardingSettings | None = None
+) -> SettingsReading:
+    """Return a host's settings and all problems; ignore unknown keys.
+
+    What is missing or malformed is replaced by its value in `last`, or by a default.
+    """
+    entries = _parse_lines(text)
+    problems: list[SettingProblem] = []
+    document: dict[str, Any] = {
+        key: entries[name] for key, name in TEXT_BY_KEY.items() if name in entries
+    }
+    for key, figure in FIGURE_BY_KEY.items():
+        number = _read_figure(key, figure, entries, problems, last)
+        document[key] = int(number) if figure.is_whole else number
+    document["seeds"] = _read_seeds(entries.get("seeds"), problems, last)
+    document["region_by_domain"] = {
+        name.removeprefix("zones."): region
+        for name, region in entries.items()
+        if name.startswith("zones.")
+    }
+    document["operator_address"] = _operator_address(entries, problems)
+    malformed: list[SettingProblem] = []
+    values = read_object("", document, FIELD_BY_KEY, malformed)
+    for problem in malformed:
+        values[problem.key] = _replacement(problem.key, last)
+    problems += malformed
+    if any(values[problem.key] is None for problem in malformed):
+        return SettingsReading(None, tuple(problems))
+    return SettingsReading(ForwardingSettings(**values), tuple(problems))
+
+
+def _replacement(key: str, last: ForwardingSettings | None) -> Any:  # noqa: ANN401
+    """Return what a key has if its entry is missing or malformed, None if nothing."""
+    return DEFAULT_BY_KEY.get(key) if last is None else getattr(last, key)
 
 
 def _parse_lines(text: str) -> dict[str, str]:
@@ -82,13 +127,70 @@
     return pairs
 
 
-def _parse_number(text: str | None) -> int | float | str | None:
-    """Return the text as a number, or unchanged for the check to report."""
-    if text is None:
+def _read_figure(
+    key: str,
+    figure: Figure,
+    entries: dict[str, str],
+    problems: list[SettingProblem],
+    last: ForwardingSettings | None,
+) -> float:
+    """Return the least of a figure's entries within its bounds, or a replacement."""
+    texts = [entries[name] for name in figure.names if name in entries]
+    numbers = [number for number in map(_parse_number, texts) if number is not None]
+    usable = [
+        number * figure.unit for number in numbers if number > 0.0 or not figure.lowest
+    ]
+    message = ""
+    if len(texts) < len(figure.names):
+        message = MISSING
+    elif len(usable) < len(texts):
+        message = f"no such number: {_shortened(', '.join(texts))}"
+    elif min(usable) > figure.highest:
+        message = f"above {figure.highest:.0f}: {_shortened(', '.join(texts))}"
+    if message:
+        problems.append(SettingProblem(key, message, figure.remedy))
+        if last is not None or not usable:
+            return float(_replacement(key, last))
+    return min(max(min(usable), figure.lowest), figure.highest)
+
+
+def _parse_number(text: str) -> float | None:
+    """Return a whole number or a fraction of at least 0, None if it is neither."""
+    try:
+        number = float(text)
+    except ValueError:
         return None
-    for kind in (int, float):
-        try:
-            return kind(text)
-        except ValueError:
-            continue
-    return text
+    return number if math.isfinite(number) and number >= 0.0 else None
+
+
+def _read_seeds(
+    text: str | None,
+    problems: list[SettingProblem],
+    last: ForwardingSettings | None,
+) -> list[str] | tuple[str, ...]:
+    """Return the seeds that are addresses; report the others."""
+    if text is None:
+        problems.append(SettingProblem("seeds", MISSING, SEEDS_REMEDY))
+        return () if last is None else last.seeds
+    seeds = [seed.strip() for seed in text.split(",") if seed.strip()]
+    malformed = [seed for seed in seeds if not is_address(seed)]
+    if malformed:
+        message = f"no addresses: {_shortened(', '.join(malformed))}"
+        problems.append(SettingProblem("seeds", message, SEEDS_REMEDY))
+    return [seed for seed in seeds if is_address(seed)]
+
+
+def _operator_address(entries: dict[str, str], problems: list[SettingProblem]) -> str:
+    """Return the operators' address at this host's IP, or else at that for peers."""
+    address = f"{entries.get('ip', '')}:{OPERATOR_PORT}"
+    if is_address(address):
+        return address
+    message = f"no IP: {_shortened(entries.get('ip', ''))}"
+    problems.append(SettingProblem("operator_address", message, "give ip=IP"))
+    own_ip = entries.get("listen.control", "").rpartition(":")[0]
+    return f"{own_ip}:{OPERATOR_PORT}"
+
+
+def _shortened(text: str) -> str:
+    """Return a value as it is shown in a problem, on one line of bounded length."""
+    return ascii(text[:SHOWN_LENGTH])
--- a/burdockmill/settings_watcher.py
+++ b/burdockmill/settings_watcher.py
@@ -6,17 +6,15 @@
 from typing import TYPE_CHECKING
 
 from loguru import logger
-from returns.result import Success
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from returns.result import Result
-
     from burdockmill.forwarding.settings import ForwardingSettings
     from burdockmill.settings_fields import SettingProblem
+    from burdockmill.settings_reading import SettingsReading
 
-    ReadSettings = Callable[[], Result[ForwardingSettings, tuple[SettingProblem, ...]]]
+    ReadSettings = Callable[[ForwardingSettings | None], SettingsReading]
 
 # Polling interval; a change of the file is applied within this time without a signal.
 POLL_SECONDS = 2.0
@@ -30,11 +28,14 @@
         settings: ForwardingSettings,
         read: ReadSettings,
         apply: Callable[[ForwardingSettings], None],
+        problems: tuple[SettingProblem, ...] = (),
     ) -> None:
+        """Watch settings that were read with some problems, each one reported."""
         self._settings = settings
         self._read = read
         self._apply = apply
-        self._problems: tuple[SettingProblem, ...] = ()
+        self._problems = problems
+        self._read_error = ""
 
     async def run(self) -> None:
         """Check the settings periodically until cancelled."""
@@ -45,21 +46,18 @@
     def check(self) -> None:
         """Read the settings and apply changes.
 
-        Invalid settings are reported once, and the last valid ones stay active.
+        Invalid settings are reported once, and their last valid values stay active.
         """
         try:
-            parsed = self._read()
-        except (OSError, UnicodeDecodeError) as error:
-            logger.warning(
-                "settings: cannot be read ({}); the last valid settings stay active.",
-                error,
-            )
+            reading = self._read(self._settings)
+        except OSError as error:
+            self._report_read_error(str(error))
             return
-        if not isinstance(parsed, Success):
-            self._report_problems(parsed.failure())
+        self._read_error = ""
+        self._report_problems(reading.problems)
+        settings = reading.settings
+        if settings is None:
             return
-        self._problems = ()
-        settings = parsed.unwrap()
         changed = [
             name
             for name, value in settings._asdict().items()
@@ -70,9 +68,17 @@
             logger.info("settings: changed {}.", ", ".join(changed))
             self._apply(settings)
 
+    def _report_read_error(self, error: str) -> None:
+        if error == self._read_error:
+            return
+        self._read_error = error
+        logger.warning(
+            "settings: cannot be read ({}); the last valid settings stay active.", error
+        )
+
     def _report_problems(self, problems: tuple[SettingProblem, ...]) -> None:
         if problems == self._problems:
             return
         self._problems = problems
         for problem in problems:
-            logger.error("settings: {}; the last valid settings stay active.", problem)
+            logger.error("settings: {}; the last valid value stays active.", problem)
