Take an answer with a spoiled stamp for a wrong one, and forward no id that would change

A client got a success without a stamp, and a search with one such part a closed connection, when an upstream's stamp held a control character. Any stamp but an empty one was taken for good; the header was then dropped for its control character, or refused by aiohttp when the search's answer was written. A byte that is not UTF-8 was left out on the way, so that a client got another stamp; a connection option that names the stamp removed it.

A stamp is now one header, without control characters, spaces, commas and stray bytes; any other is a wrong answer, which goes to another upstream within the attempts. Stamp and request id stay whatever a Connection header names, and all Connection headers count.

From clients: an id with a byte that is not UTF-8 ran at the upstream under another id, and the client got 500; such a Host got 500 too. Both get 400. Other headers with such bytes were sent on without the byte; they are dropped as ones with control characters are, with a line in the log. A deadline of nan counted as none left; it is 400.

--- a/burdockmill/platform/headers.py
+++ b/burdockmill/platform/headers.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import re
 from typing import TYPE_CHECKING
 
 from multidict import MultiMapping
 
-from burdockmill.platform.wire_names import HOP_BY_HOP
+from burdockmill.forwarding.field_values import is_sendable
+from burdockmill.platform.wire_names import HOP_BY_HOP, REQUEST_ID, STAMP
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
@@ -15,23 +15,31 @@
     from burdockmill.forwarding.messages import Headers
 
 
-CONTROL_CHARACTERS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+# No connection option removes these: an answer without them is not the client's.
+ALWAYS_END_TO_END = frozenset({REQUEST_ID.lower(), STAMP.lower()})
 
 
 def end_to_end(
-    headers: Mapping[str, str], excluded: frozenset[str] = frozenset()
+    headers: Mapping[str, str],
+    unsendable: list[str],
+    excluded: frozenset[str] = frozenset(),
 ) -> Headers:
     """Return all but hop-by-hop, `excluded` and unsendable headers.
 
-    `excluded` is in lower case. A header with control characters cannot be sent on.
+    `excluded` is in lower case. Append the names of the unsendable ones to
+    `unsendable`.
     """
-    connection_options = frozenset(_connection_options(headers))
-    dropped = HOP_BY_HOP | excluded | connection_options
-    return tuple(
-        (name, value)
-        for name, value in headers.items()
-        if name.lower() not in dropped and not CONTROL_CHARACTERS.search(value)
-    )
+    options = frozenset(_connection_options(headers)) - ALWAYS_END_TO_END
+    dropped = HOP_BY_HOP | excluded | options
+    kept = []
+    for name, value in headers.items():
+        if name.lower() in dropped:
+            continue
+        if is_sendable(value):
+            kept.append((name, value))
+        else:
+            unsendable.append(name)
+    return tuple(kept)
 
 
 def first_value(headers: Mapping[str, str], names: tuple[str, ...]) -> str | None:
@@ -47,5 +55,6 @@
 
 
 def _connection_options(headers: Mapping[str, str]) -> Iterator[str]:
-    for name in headers.get("Connection", "").split(","):
-        yield name.strip().lower()
+    for value in values_of(headers, "Connection"):
+        for name in value.split(","):
+            yield name.strip().lower()
--- a/burdockmill/platform/ingress_codec.py
+++ b/burdockmill/platform/ingress_codec.py
@@ -6,11 +6,13 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from aiohttp import web
+from aiohttp import hdrs, web
+from loguru import logger
 from multidict import CIMultiDict
 
 from burdockmill.errors import BadRequestError, BodyTooLargeError
 from burdockmill.forwarding.codecs import IngressCodec
+from burdockmill.forwarding.field_values import is_sendable
 from burdockmill.forwarding.messages import (
     ForwardedRequest,
     MergedAnswer,
@@ -50,20 +52,28 @@
     async def read(self, request: web.BaseRequest, now_ms: float) -> ForwardedRequest:
         """Return a request with its whole body.
 
-        Raise a BurdockmillError if the request id is missing, the deadline is not a
-        number, or the body is too large.
+        Raise a BurdockmillError if the request id is missing or cannot be sent on, the
+        deadline is not a number, or the body is too large.
         """
         headers = request.headers
         request_id = headers.get(REQUEST_ID, "")
         if not request_id:
             raise BadRequestError(f"The header {REQUEST_ID} is missing.")
+        for name in (REQUEST_ID, hdrs.HOST):
+            if not is_sendable(headers.get(name, "")):
+                raise BadRequestError(f"The header {name} is not UTF-8.")
+        unsendable: list[str] = []
+        forwarded = end_to_end(headers, unsendable, REPLACED_HEADERS)
+        if unsendable:
+            names = ", ".join(unsendable)
+            logger.warning("request: {} has unsendable {}.", request_id, names)
         body = await self._read_body(request)
         return ForwardedRequest(
             request_id,
             request.method,
             request.host.partition(":")[0].lower(),
             request.raw_path,
-            end_to_end(headers, REPLACED_HEADERS),
+            forwarded,
             body,
             now_ms,
             now_ms + _deadline_ms(headers.get(DEADLINE_MS)),
@@ -121,6 +131,9 @@
     if text is None:
         return math.inf
     try:
-        return max(0.0, float(text))
-    except ValueError as error:
-        raise BadRequestError(f"The header {DEADLINE_MS} is not a number.") from error
+        deadline_ms = float(text)
+    except ValueError:
+        deadline_ms = math.nan
+    if math.isnan(deadline_ms):
+        raise BadRequestError(f"The header {DEADLINE_MS} is not a number.")
+    return max(0.0, deadline_ms)
--- a/burdockmill/platform/upstream_codec.py
+++ b/burdockmill/platform/upstream_codec.py
@@ -44,6 +44,9 @@
 MIN_DEADLINE_MS = 1
 # Longer numbers are taken for a fault of the upstream.
 RATE = re.compile(r"[0-9]{1,12}(?:\.[0-9]{0,12})?", re.ASCII)
+# No control characters, spaces, or bytes that are not UTF-8; and no commas, which
+# separate the stamps of a search.
+STAMP_PATTERN = re.compile(r"[^\x00-\x20,\x7f-\xa0\ud800-\udfff]+")
 # A malformed header is quoted in logs up to this many characters.
 QUOTED_CHARACTERS = 40
 
@@ -73,12 +76,12 @@
 
     def outcome(self, exchanged: HttpResponse) -> AttemptOutcome:
         """Return the outcome of an attempt from its complete response."""
-        outcome = _decode_end(exchanged)
+        ignored: list[str] = []
+        outcome = _decode_end(exchanged, ignored)
         if outcome.end is AttemptEnd.WRONG_INSTANCE:
             # Another upstream answered; what it says of itself is not of this one.
             return outcome
         headers = exchanged.headers
-        ignored: list[str] = []
         return outcome._replace(
             is_leaving=first_value(headers, LEAVING) == LEAVING_VALUE,
             pause_ms=_decode_pause_ms(exchanged, ignored),
@@ -87,7 +90,7 @@
         )
 
 
-def _decode_end(exchanged: HttpResponse) -> AttemptOutcome:
+def _decode_end(exchanged: HttpResponse, ignored: list[str]) -> AttemptOutcome:
     headers = exchanged.headers
     status = exchanged.status
     detail = f"status {status}"
@@ -95,10 +98,16 @@
         return AttemptOutcome(AttemptEnd.WRONG_INSTANCE, detail=detail)
     if NOT_RUN in headers:
         return AttemptOutcome(AttemptEnd.NOT_RUN, detail=detail)
-    stamp = headers.get(STAMP, "")
-    if "Content-Encoding" in headers or not stamp:
+    stamps = values_of(headers, STAMP)
+    if len(stamps) != 1 or not STAMP_PATTERN.fullmatch(stamps[0]):
+        detail += ", without a valid stamp"
+        return AttemptOutcome(AttemptEnd.WRONG_ANSWER, detail=detail)
+    if "Content-Encoding" in headers:
         return AttemptOutcome(AttemptEnd.WRONG_ANSWER, detail=detail)
-    answer = UpstreamAnswer(status, end_to_end(headers), exchanged.body, stamp)
+    unsendable: list[str] = []
+    forwarded = end_to_end(headers, unsendable)
+    ignored.extend(f"{name} cannot be sent on" for name in unsendable)
+    answer = UpstreamAnswer(status, forwarded, exchanged.body, stamps[0])
     end = AttemptEnd.ANSWERED
     if status not in OK_STATUSES:
         end = AttemptEnd.UPSTREAM_ERROR
--- a/tests/builders_forwarding_node.py
+++ b/tests/builders_forwarding_node.py
@@ -84,6 +84,32 @@
             self.writer.close()
 
 
+async def raw_answer(address, data):
+    """Return the answer to a request that may be malformed; None if there is none."""
+    host, port = address.split(":")
+    reader, writer = await asyncio.open_connection(host, port)
+    writer.write(data)
+    try:
+        async with asyncio.timeout(5.0):
+            head = await reader.readuntil(b"\r\n\r\n")
+            answer = Answer(head, b"")
+            length = int(answer.headers["content-length"])
+            answer.body = await reader.readexactly(length)
+    except asyncio.IncompleteReadError:
+        return None
+    finally:
+        writer.close()
+    return answer
+
+
+def raw_request(request_id=b"id-1", host=b"leave.example", headers=b"", method=b"GET"):
+    return (
+        method + b" /fetch/x HTTP/1.1\r\nHost: " + host + b"\r\n"
+        b"X-Burdockmill-Request-Id: " + request_id + b"\r\n"
+        b"X-Burdockmill-Deadline-Ms: 1000\r\n" + headers + b"\r\n"
+    )
+
+
 class Site:
     """Run a store, upstreams of three services, and some hosts.
 
