Answer with an error when an answer cannot be written

A client got a closed connection without an answer when the head of a finished answer could not be written: aiohttp refuses a header only after the handler has returned. The same held for any error of the codec that builds the answer. Both now give 500 with `ran: unknown`, on every surface; if any byte was written, the connection ends as before.

--- a/burdockmill/surfaces/_bounded_server.py
+++ b/burdockmill/surfaces/_bounded_server.py
@@ -151,6 +151,21 @@
                 wait_seconds, self._on_header_timeout
             )
 
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Write a response, or an internal error if its head cannot be written."""
+        try:
+            return await super().finish_response(request, resp, start_time)
+        except Exception as error:
+            if request.writer.output_size:
+                raise
+            failure = self.handle_error(request, SERVER_ERROR, error)
+            return await super().finish_response(request, failure, start_time)
+
     def handle_error(
         self,
         request: web.BaseRequest,
--- a/burdockmill/surfaces/ingress.py
+++ b/burdockmill/surfaces/ingress.py
@@ -69,6 +69,7 @@
             forwarded = await self._read(request)
             request_id = forwarded.request_id
             result = await self._forwarder.forward(forwarded)
+            return self._codec.response(result)
         except BurdockmillError as error:
             return self._refusal_response(error, request_id)
         except asyncio.CancelledError:
@@ -79,7 +80,6 @@
                 "The request failed with an internal error.", ran=Ran.UNKNOWN
             )
             return self._refusal_response(internal, request_id)
-        return self._codec.response(result)
 
     async def _read(self, request: web.BaseRequest) -> ForwardedRequest:
         now_ms = self._clock.now_ms()
