Take no reply of another host that could not be passed on

A reply to a hand-over was passed on whatever it held: with no stamp, with a status that is no final one, or with control characters, which closed the client's connection without an answer. Replies with such values, or with a time to retry after that is negative or absurd, are malformed, so the request counts as lost there. Bytes that are not UTF-8 or nest deeply are malformed too, without a traceback in the log. A hand-over with an id, a method or headers that cannot be sent on is refused, so that it is not run.

--- a/burdockmill/relay/messages.py
+++ b/burdockmill/relay/messages.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from burdockmill.errors import BadRequestError, BurdockmillError, Ran
+from burdockmill.forwarding.field_values import is_sendable
 from burdockmill.forwarding.messages import Headers, MergedAnswer, UpstreamAnswer
 from burdockmill.messages.tolerant_decoder import TolerantDecoder
 from burdockmill.names import HostId, RequestId
@@ -87,6 +88,12 @@
     retry_after_ms: int | None = None
 
 
+# A malformed value is quoted up to this many characters.
+QUOTED_CHARACTERS = 40
+FINAL_STATUSES = range(200, 1_000)
+RETRY_AFTER_LIMIT_MS = 86_400_000
+_STAMPED = frozenset({ReplyKind.ANSWER, ReplyKind.MERGED})
+
 _REQUEST_DECODER = TolerantDecoder(RelayedRequest)
 _REPLY_DECODER = TolerantDecoder(RelayReply)
 
@@ -100,15 +107,30 @@
     """Return a request and its body; raise BadRequestError if it is malformed."""
     head, _, body = data.partition(b"\n")
     try:
-        return _REQUEST_DECODER.decode(head), body
+        request = _REQUEST_DECODER.decode(head)
+        _check_sendable(request.request_id, request.method)
+        _check_headers(request.headers)
     except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
         raise BadRequestError(f"The relayed request is malformed: {error}.") from error
+    return request, body
 
 
 def decode_reply(data: bytes) -> tuple[RelayReply, bytes]:
     """Return a reply and its body; raise msgspec.MsgspecError if it is malformed."""
     head, _, body = data.partition(b"\n")
-    return _REPLY_DECODER.decode(head), body
+    try:
+        reply = _REPLY_DECODER.decode(head)
+    except (UnicodeError, RecursionError) as error:
+        raise msgspec.DecodeError(str(error)) from error
+    _check_headers(reply.headers)
+    _check_sendable(*reply.stamps)
+    if reply.kind in _STAMPED and not (reply.stamps and all(reply.stamps)):
+        raise msgspec.ValidationError("an answer has no stamp")
+    if reply.kind is ReplyKind.ANSWER and reply.status not in FINAL_STATUSES:
+        raise msgspec.ValidationError(f"{reply.status} is no answer's status")
+    if not 0 <= (reply.retry_after_ms or 0) <= RETRY_AFTER_LIMIT_MS:
+        raise msgspec.ValidationError("the time to retry after is out of range")
+    return reply, body
 
 
 def relayed_request(
@@ -188,6 +210,18 @@
     return tuple((str(name), str(value)) for name, value in headers)
 
 
+def _check_headers(headers: Headers) -> None:
+    for name, value in headers:
+        _check_sendable(name, value)
+
+
+def _check_sendable(*values: str) -> None:
+    """Raise msgspec.ValidationError if a value cannot be sent in a head."""
+    for value in values:
+        if not is_sendable(value):
+            raise msgspec.ValidationError(f"{value[:QUOTED_CHARACTERS]!r} is no value")
+
+
 def _error_class(kind: str) -> type[BurdockmillError]:
     classes: list[type[BurdockmillError]] = [BurdockmillError]
     for one in classes:
