Serve heads up to the operators' limit, and refuse larger ones with 431

All headers together may now have `max-header-bytes`, and the path as many; more gets 431 with `ran: no`. The limit is read for each request, so that a new configuration holds for open connections too. A head that goes on beyond both limits is refused while it arrives; if an earlier request of its connection is still running, that one is answered first and the connection closes. Answers of upstreams and other hosts may have headers of 64 KiB and 1,024 of them, within the bound for what is not body.

--- a/burdockmill/clients/no_retry_session.py
+++ b/burdockmill/clients/no_retry_session.py
@@ -31,6 +31,9 @@
     from burdockmill.names import Address
 
 RESPONSE_LIMIT_BYTES = 8 * 1024 * 1024
+# Limits of a response's head; its whole size is bounded as overhead of the body.
+FIELD_LIMIT_BYTES = 64 * 1024
+HEADERS_LIMIT = 1_024
 JSON = "application/json"
 HEAD = "HEAD"
 FIRST_FINAL_STATUS = 200
@@ -135,7 +138,12 @@
     ) -> None:
         protocol.start_exchange()
         protocol.set_response_params(
-            skip_payload=method == HEAD, read_until_eof=True, auto_decompress=False
+            skip_payload=method == HEAD,
+            read_until_eof=True,
+            auto_decompress=False,
+            max_line_size=FIELD_LIMIT_BYTES,
+            max_field_size=FIELD_LIMIT_BYTES,
+            max_headers=HEADERS_LIMIT,
         )
         writer = StreamWriter(protocol, self._loop)
         await writer.write_headers(f"{method} {target} HTTP/1.1", headers)
--- a/burdockmill/errors.py
+++ b/burdockmill/errors.py
@@ -84,6 +84,14 @@
     remedy = "Send a smaller body."
 
 
+class HeaderTooLargeError(BurdockmillError):
+    """Refuse a request whose head is larger than the limit."""
+
+    kind = "header_too_large"
+    status = 431
+    remedy = "Send fewer or shorter headers, or a shorter path."
+
+
 class SlowRequestError(BurdockmillError):
     """Refuse a request whose header or body arrives too slowly."""
 
--- a/burdockmill/forwarding_node.py
+++ b/burdockmill/forwarding_node.py
@@ -204,6 +204,7 @@
             self.ingress.handle,
             settings.ingress_address,
             self._ingress_socket,
+            lambda: self.limits.header_bytes,
         )
         ready = ready_app(lambda: self.ready)
         await self._open_listener("ready", ready, settings.ready_address)
@@ -337,9 +338,12 @@
         app: web.Application | Callable,
         address: Address,
         listening_socket: socket | None = None,
+        header_limit: Callable[[], int] | None = None,
     ) -> None:
         bounds = ServerBounds(
-            self.settings.connections_limit, partial(self.count_refusal, surface)
+            self.settings.connections_limit,
+            partial(self.count_refusal, surface),
+            header_limit=header_limit,
         )
         listener = Listener(app, bounds)
         self.listener_by_surface[surface] = listener
--- a/burdockmill/surfaces/_bounded_server.py
+++ b/burdockmill/surfaces/_bounded_server.py
@@ -13,6 +13,7 @@
 from burdockmill.errors import (
     BadRequestError,
     BurdockmillError,
+    HeaderTooLargeError,
     OverloadedError,
     Ran,
     SlowRequestError,
@@ -21,21 +22,33 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from aiohttp.streams import StreamReader
+
 HEADER_TIMEOUT_SECONDS = 10.0
 KEEPALIVE_SECONDS = 75.0
 # A client sends its first request within this time of connecting.
 FIRST_REQUEST_SECONDS = 0.5
 CONNECTIONS_RETRY_AFTER_MS = 500
+# A path and all headers may each have the limit, and the rest of a head is short.
+HEAD_PARTS = 2
+HEADER_SEPARATORS = b": \r\n"
+PARSER_LIMITS = ("max_line_size", "max_field_size", "max_headers")
+UNLIMITED = 2**31 - 1
 CLIENT_ERROR = 400
 SERVER_ERROR = 500
 
 
 class ServerBounds(NamedTuple):
-    """Set the limits of a surface; `count_refusal` gets each refusal's error kind."""
+    """Set the limits of a surface; `count_refusal` gets each refusal's error kind.
+
+    `header_limit` returns how many bytes all headers of a request may have together,
+    and its path as many; None leaves the parser's own limits.
+    """
 
     connections_limit: int
     count_refusal: Callable[[str], None]
     header_timeout_seconds: float = HEADER_TIMEOUT_SECONDS
+    header_limit: Callable[[], int] | None = None
 
 
 class BoundedRunner(web.AppRunner):
@@ -63,8 +76,17 @@
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         bounds: ServerBounds,
     ) -> None:
+        header_limit = bounds.header_limit
+
+        async def handle(request: web.BaseRequest) -> web.StreamResponse:
+            if header_limit is not None and _head_bytes(request) > header_limit():
+                error = _header_too_large(header_limit())
+                bounds.count_refusal(error.kind)
+                return _json_response(error)
+            return await handler(request)
+
         server = web.Server(
-            handler,
+            handle,
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=KEEPALIVE_SECONDS,
@@ -87,7 +109,11 @@
 
     def __call__(self) -> BoundedHandler:
         """Return the handler of a new connection."""
-        return BoundedHandler(self, loop=self._loop, **self._kwargs)
+        limits = {}
+        if self.bounds.header_limit is not None:
+            # The limit is counted here, as it may change while a connection is open.
+            limits = dict.fromkeys(PARSER_LIMITS, UNLIMITED)
+        return BoundedHandler(self, loop=self._loop, **(self._kwargs | limits))
 
 
 class BoundedHandler(web.RequestHandler):
@@ -105,6 +131,8 @@
         self._server = server
         self._header_timer: asyncio.TimerHandle | None = None
         self._accepted_s = 0.0
+        self._latest_payload: StreamReader | None = None
+        self._head_bytes = 0
 
     @property
     def is_idle(self) -> bool:
@@ -141,7 +169,15 @@
 
     def data_received(self, data: bytes) -> None:
         """Handle received bytes; run the header timer while a header is incomplete."""
+        requests_before = self._request_count
+        payload = self._latest_payload
+        is_of_head = payload is None or payload.is_eof()
         super().data_received(data)
+        if self._request_count != requests_before:
+            self._latest_payload = self._messages[-1][1]
+            self._head_bytes = 0
+        elif is_of_head:
+            self._count_head(len(data))
         awaits_header = self._waiter is not None and not self._waiter.done()
         if not awaits_header:
             self._stop_timer()
@@ -184,14 +220,21 @@
                 "The request failed with an internal error.", ran=Ran.UNKNOWN
             )
         self._bounds.count_refusal(error.kind)
-        response = web.Response(
-            body=msgspec.json.encode(error.body()),
-            status=error.status,
-            content_type="application/json",
-        )
+        response = _json_response(error)
         response.force_close()
         return response
 
+    def _count_head(self, size_bytes: int) -> None:
+        self._head_bytes += size_bytes
+        limit = self._bounds.header_limit
+        if limit is None or self._head_bytes <= HEAD_PARTS * limit():
+            return
+        if self._waiter is not None and not self._waiter.done():
+            self._refuse(_header_too_large(limit()))
+        else:
+            # The answers to earlier requests come first.
+            self.close()
+
     def _on_header_timeout(self) -> None:
         self._header_timer = None
         self._refuse(SlowRequestError("The HTTP header did not arrive in time."))
@@ -208,6 +251,27 @@
             self._header_timer = None
 
 
+def _head_bytes(request: web.BaseRequest) -> int:
+    """Return the size of a request's path or of all its headers, if that is more."""
+    separators = len(HEADER_SEPARATORS)
+    headers = sum(
+        len(name) + len(value) + separators for name, value in request.raw_headers
+    )
+    return max(headers, len(request.raw_path))
+
+
+def _header_too_large(limit: int) -> HeaderTooLargeError:
+    return HeaderTooLargeError(f"The path or the headers exceed {limit} bytes.")
+
+
+def _json_response(error: BurdockmillError) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(error.body()),
+        status=error.status,
+        content_type="application/json",
+    )
+
+
 def _raw_response(error: BurdockmillError) -> bytes:
     body = msgspec.json.encode(error.body())
     head = (
