Soak: odd entries, spoiled batches and answers, and hosts that do not hear each other

Cause: no run put hostile bytes in.

Change: `--hostile` (`make soak HOSTILE=1`) adds steps, in turn: odd entries in the store, batches of one host spoiled, and answers to one host with a control character in the stamp or cut heads. Without it the plan of a seed is as before. The check MEMBERS finds hosts that call each other silent, in their own lines, though nothing impaired either.

Mended on the way: a host that ended while it started (SIGHUP before its handler is set) ended the whole run after 20 s without a result; it is reported as ENDS now, and started again. A host that was paused during its stop was reported to outlive its grace time.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -29,6 +29,9 @@
     previous: Annotated[
         str, typer.Option(help="A commit: replace its hosts by this build, and back.")
     ] = "",
+    hostile: Annotated[
+        bool, typer.Option(help="Write odd entries, and spoil bytes between hosts.")
+    ] = False,
     calm: Annotated[bool, typer.Option(help="Leave the seed's faults out.")] = False,
 ) -> None:
     """Run hosts as processes, put faults in, and list the rules that were broken."""
@@ -36,7 +39,7 @@
     folder.mkdir(parents=True, exist_ok=True)
     duration_ms = minutes * MILLISECONDS_PER_MINUTE
     with PreviousBuild(previous) if previous else nullcontext() as code:
-        options = RunOptions(code, calm)
+        options = RunOptions(code, calm, hostile)
         run = SoakRun(seed, duration_ms, hosts, folder, options)
         print(run.site)
         for step in run.plan:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from soak.check_answers import check_answers, check_denials, check_runs
+from soak.check_members import check_members
 from soak.check_times import (
     check_deadlines,
     check_departed_clients,
@@ -31,6 +32,7 @@
     check_processes,
     check_limits,
     check_suspects,
+    check_members,
 )
 
 
--- a/soak/link_proxy.py
+++ b/soak/link_proxy.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import socket
 from contextlib import suppress
 
+from soak.garbling import GARBLED_ANSWERS, GARBLED_BATCHES, garble
+
 CHUNK_BYTES = 65_536
+GARBLED = (GARBLED_BATCHES, GARBLED_ANSWERS)
 SLOW_S = 0.15
 TRICKLE_BYTES, TRICKLE_S = 8, 0.02
 # Connections beyond those that fill a listening socket's queue hang.
@@ -45,6 +49,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._changed = asyncio.Event()
         self._sockets: list[socket.socket] = []
+        self._rng = random.Random(target)
 
     async def open(self) -> None:
         """Listen for connections."""
@@ -139,10 +144,15 @@
                 await self._wait_while_blocked(is_answer)
                 if is_answer and self._bytes_per_s:
                     await asyncio.sleep(len(chunk) / self._bytes_per_s)
+                is_cut = False
+                if self._how in GARBLED:
+                    chunk, is_cut = garble(self._how, chunk, self._rng)
                 await self._write(writer, chunk)
+                if is_cut:
+                    raise ConnectionAbortedError
             writer.write_eof()
         except (OSError, RuntimeError):
-            # One end was reset, so the other one is.
+            # One end was reset, or is cut off, so the other one is.
             writer.transport.abort()
 
     async def _wait_while_blocked(self, is_answer: bool) -> None:
@@ -152,7 +162,7 @@
     async def _write(self, writer: asyncio.StreamWriter, chunk: bytes) -> None:
         if self._how == "slow":
             await asyncio.sleep(SLOW_S)
-        while self._how == "trickle" and chunk:
+        while self._how == "trickle" and chunk and not writer.is_closing():
             writer.write(chunk[:TRICKLE_BYTES])
             chunk = chunk[TRICKLE_BYTES:]
             await asyncio.sleep(TRICKLE_S)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -46,11 +46,13 @@
     """What a run has beyond the faults of its seed.
 
     `previous` is the folder of an earlier build, by which hosts are replaced. A calm
-    run has none of the seed's faults.
+    run has none of the seed's faults. A hostile one has entries of other writers and
+    spoiled bytes as well.
     """
 
     previous: Path | None = None
     is_calm: bool = False
+    is_hostile: bool = False
 
 
 class Site(NamedTuple):
--- a/soak/records.py
+++ b/soak/records.py
@@ -89,6 +89,14 @@
     to_ms: float
 
 
+class Suspicion(NamedTuple):
+    """A host that got no reply to any probe from another, `about`."""
+
+    at_ms: float
+    host: int
+    about: int
+
+
 class Configuration(NamedTuple):
     """A version that the store confirmed: its shards, and the moved route's service."""
 
@@ -124,3 +132,4 @@
     unexpected_ends: list[str]
     stray_bytes: list[str]
     limits: Sequence[Limit] = ()
+    suspicions: Sequence[Suspicion] = ()
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,6 +11,8 @@
 from typing import Any
 
 from soak.check_times import PLANNED_KINDS
+from soak.hostile_entries import write_entries
+from soak.hostile_plan import draw_hostile
 from soak.plan import QUIET_END_MS, RunOptions, Step, draw_plan, draw_site
 from soak.process_samples import sample_of
 from soak.records import (
@@ -21,14 +23,16 @@
     ProcessSample,
     RunRecord,
     Stop,
+    Suspicion,
 )
+from soak.routes import routes_of
 from soak.soak_client import SoakClient, now_ms
 from soak.soak_host import SoakHost
 from soak.soak_upstream import UpstreamPlace
 from soak.store_client import StoreClient
 from soak.upgrade_plan import PREVIOUS, draw_upgrade
 from soak.upstream_faults import UpstreamFaults
-from tests.builders_platform import configuration_of, search_route, single_route
+from tests.builders_platform import configuration_of
 
 ZONES = ("waw-a", "krk-a")
 SHARD_SETS = (("a", "b"), ("e", "f", "g"))
@@ -58,6 +62,8 @@
         plan = () if options.is_calm else draw_plan(seed, *sizes)
         if options.previous is not None:
             plan = (*plan, *draw_upgrade(seed, *sizes))
+        if options.is_hostile:
+            plan = (*plan, *draw_hostile(seed, duration_ms, hosts))
         self.plan = tuple(sorted(plan))
         self._previous = options.previous
         self._seed = seed
@@ -113,6 +119,7 @@
                 self._ends,
                 self._stray,
                 self._upstreams.limits,
+                self._suspicions(),
             )
 
     async def _start(self, stack: AsyncExitStack) -> None:
@@ -150,6 +157,14 @@
             self._stray.append,
         )
 
+    def _suspicions(self) -> list[Suspicion]:
+        number_by_peer = {host.peer: host.number for host in self._hosts}
+        return [
+            Suspicion(at_ms, host.number, number_by_peer[peer])
+            for host in self._hosts
+            for at_ms, peer in host.suspicions
+        ]
+
     @property
     def _seeds(self) -> Sequence[str]:
         return [host.peer for host in self._hosts[:3]]
@@ -162,16 +177,7 @@
     async def _publish(self) -> None:
         version = next(self._versions)
         shards, moved = SHARD_SETS[self._shards], MOVED_SERVICES[self._moved]
-        routes = [
-            search_route(list(shards)),
-            single_route("c"),
-            single_route("c", name="once", prefix="/once/", type="unsafe"),
-            single_route(moved, name="moved", prefix="/moved/"),
-            *(
-                single_route("c", name=f"idle-{number}", prefix=f"/idle-{number}/")
-                for number in range(self.site.idle_routes)
-            ),
-        ]
+        routes = routes_of(shards, moved, self.site.idle_routes)
         await self._store.put(
             "op/config", configuration_of(routes, list(SERVICES), version)
         )
@@ -212,6 +218,8 @@
                 await self._pause(self._places[step.number], step, None)
             case "upstream_kill" | "upstream_leave":
                 await self._upstreams.replace(step)
+            case "hostile_entries":
+                await write_entries(self._store, self._seed, step)
             case "limit":
                 await self._upstreams.limit(step)
             case "suspect":
--- a/soak/soak_host.py
+++ b/soak/soak_host.py
@@ -12,6 +12,7 @@
 from soak.child_process import ChildProcess
 from soak.host import PROXIES
 from soak.link_proxy import LinkProxy
+from soak.soak_client import now_ms
 from tests.builders_addresses import free_address, loopback_ip_of
 from tests.builders_platform import settings_of
 
@@ -21,6 +22,10 @@
 # SIGKILL follows SIGTERM after the grace time; a host ends before that.
 GRACE_S = 3.0
 END_SLACK_S = 0.5
+# The platform restarts a process that ended after a short delay.
+RESTART_S = 0.3
+POLL_S = 0.05
+NO_REPLY = "no reply to any probe"
 
 
 class SoakHost:
@@ -41,8 +46,11 @@
         self._path = folder / f"host-{number}.conf"
         self._log = (folder / f"host-{number}.jsonl").open("w")
         self._on_unexpected_end = on_unexpected_end
+        # When this host got no reply to any probe, and from which address.
+        self.suspicions: list[tuple[float, str]] = []
         self._serving = asyncio.Event()
         self._code_that_runs = ""
+        self._is_paused_since_stop = False
         self._process = ChildProcess(self._read)
 
     @property
@@ -72,7 +80,15 @@
             await asyncio.gather(*(one.open() for one in proxies))
 
     async def start(self, seeds: Sequence[str]) -> None:
-        """Start the process, and wait until it serves clients."""
+        """Start the process until it serves clients; report each end before that."""
+        while not await self._start_once(seeds):
+            await self.kill()
+            detail = f"host {self.number} ended while it started"
+            self._on_unexpected_end(detail)
+            await asyncio.sleep(RESTART_S)
+
+    async def _start_once(self, seeds: Sequence[str]) -> bool:
+        """Start the process; return whether it serves clients, else it has ended."""
         [store] = self._proxies_by_side["store"]
         addresses = (self.ingress, self.ready, self.peer, store.address)
         text = settings_of(self.ip, seeds, *addresses, grace_s=round(GRACE_S))
@@ -88,15 +104,21 @@
             **{PROXIES: json.dumps(proxy_by_address)},
         )
         async with asyncio.timeout(START_LIMIT_S):
-            await self._serving.wait()
+            while not self._serving.is_set():
+                if await self._process.wait(POLL_S):
+                    return False
         if self._code_that_runs != str(code or CURRENT_CODE):
             raise RuntimeError(f"host {self.number} runs {self._code_that_runs}")
+        return True
 
     async def stop(self) -> None:
         """Stop the process as planned work does."""
         self._process.is_end_expected = True
+        self._is_paused_since_stop = False
         self.signal(signal.SIGTERM)
-        if not await self._process.wait(GRACE_S + END_SLACK_S):
+        has_ended = await self._process.wait(GRACE_S + END_SLACK_S)
+        # A process that stands still can't end in time.
+        if not has_ended and not self._is_paused_since_stop:
             self._on_unexpected_end(f"host {self.number} outlived its grace time")
         await self.kill()
 
@@ -113,6 +135,7 @@
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
+        self._is_paused_since_stop |= number is signal.SIGSTOP
         self._process.signal(number)
 
     def check_running(self) -> None:
@@ -128,5 +151,8 @@
         self._log.write(json.dumps(line) + "\n")
         if "code" in line:
             self._code_that_runs = line["code"]
-        if "serves clients" in line.get("message", ""):
+        message = line.get("message", "")
+        if "serves clients" in message:
             self._serving.set()
+        if message.startswith("member: ") and NO_REPLY in message:
+            self.suspicions.append((now_ms(), message.split()[1]))
--- a/soak/store.py
+++ b/soak/store.py
@@ -47,6 +47,8 @@
         match command["verb"]:
             case "put":
                 self._store.put(command["key"], command["value"])
+            case "put_text":
+                self._store.put_text(command["key"], command["value"])
             case "remove":
                 if command["key"] in self._store.items:
                     self._store.remove(command["key"])
--- a/soak/store_client.py
+++ b/soak/store_client.py
@@ -6,6 +6,7 @@
 import itertools
 import json
 import signal
+from base64 import b64encode
 from typing import Any, NamedTuple
 
 from soak.child_process import ChildProcess
@@ -43,6 +44,10 @@
         """Write an item."""
         await self._ask(Command("put", key, value))
 
+    async def put_bytes(self, key: str, data: bytes) -> None:
+        """Write an item whose value is any bytes."""
+        await self._ask(Command("put_text", key, b64encode(data).decode()))
+
     async def remove(self, key: str) -> None:
         """Remove an item."""
         await self._ask(Command("remove", key))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,8 +1,18 @@
 """Check that the soak draws its plan from its seed, and finds each kind of fault."""
 
+import json
+import random
+from contextlib import suppress
+
 import pytest
 
+from burdockmill.errors import BadRequestError
+from burdockmill.messages.batch import messages_in
+from burdockmill.surfaces._batch_decoder import decode_batch
 from soak.checks import find_violations
+from soak.garbling import GARBLED_ANSWERS, GARBLED_BATCHES, HEAD_END, garble
+from soak.hostile_entries import draw_entry
+from soak.hostile_plan import HOSTILE_ENTRIES, draw_hostile
 from soak.plan import QUIET_END_MS, draw_plan, draw_site
 from soak.previous_build import ROOT, PreviousBuild
 from soak.records import (
@@ -13,6 +23,7 @@
     ProcessSample,
     Route,
     Stop,
+    Suspicion,
 )
 from soak.upgrade_plan import CURRENT, MIXED_KINDS, PREVIOUS, draw_upgrade
 from tests.builders_soak import CONFIGURATION, RecordBuilder
@@ -167,6 +178,18 @@
     assert rules_of(builder) == rules
 
 
+@pytest.mark.parametrize(
+    ("kind", "rules"), [("", {"MEMBERS"}), ("build", set()), ("link peers", set())]
+)
+def test_hosts_that_do_not_hear_each_other_are_found(builder, kind, rules):
+    times_ms = (20_000.0, 21_500.0)
+    suspicions = [Suspicion(at_ms, 0, 1) for at_ms in times_ms]
+    impaired = Impairment(19_500.0, 20_600.0, kind, 1)
+    builder.changed = {"suspicions": suspicions}
+    builder.changed["impairments"] = [impaired] if kind else []
+    assert rules_of(builder) == rules
+
+
 def test_processes_that_end_or_grow_are_found(builder):
     builder.changed = {"unexpected_ends": ["host 1 ended by itself"]}
     assert rules_of(builder) == {"ENDS"}
@@ -213,3 +236,54 @@
         assert line in (ROOT / "burdockmill" / "names.py").read_text()
         assert (folder / "soak" / "host.py").exists()
     assert not folder.exists()
+
+
+def test_a_hostile_plan_has_each_kind_and_leaves_time_to_recover():
+    plan = draw_hostile(7, 60_000.0, 3)
+    assert plan == draw_hostile(7, 60_000.0, 3)
+    kinds = {one.how or one.kind for one in plan}
+    assert kinds == {HOSTILE_ENTRIES, GARBLED_BATCHES, GARBLED_ANSWERS}
+    assert all(one.at_ms + one.for_ms <= 60_000.0 - QUIET_END_MS for one in plan)
+
+
+def test_no_hostile_entry_names_an_upstream_of_a_route():
+    rng = random.Random(1)
+    for _ in range(500):
+        key, data = draw_entry(rng)
+        assert len(key) <= 200
+        try:
+            service = json.loads(data).get("service")
+        except (ValueError, RecursionError, AttributeError):
+            continue
+        assert not isinstance(service, str) or service in ("nobody", "", "\ud800")
+
+
+def test_garbled_batches_carry_no_message_and_other_requests_are_left_alone():
+    body = json.dumps({"sender": "a", "probe_asks": [["b"]]}).encode()
+    batch = b"POST /peer/v1/batch HTTP/1.1\r\nHost: x\r\n\r\n" + body
+    rng = random.Random(1)
+    spoiled = [garble(GARBLED_BATCHES, batch, rng) for _ in range(200)]
+    assert {is_cut for _, is_cut in spoiled} == {True, False}
+    for data, is_cut in spoiled:
+        found = data.partition(HEAD_END)[2]
+        if data == batch or is_cut:
+            assert data == batch[: len(data)]
+            continue
+        assert len(found) == len(body)
+        with suppress(BadRequestError):
+            assert not messages_in(decode_batch(found).batch)
+    relayed = batch.replace(b"batch", b"requests")
+    for how in (GARBLED_BATCHES, GARBLED_ANSWERS):
+        assert all(garble(how, relayed, rng) == (relayed, False) for _ in range(50))
+
+
+def test_garbled_answers_are_cut_or_have_a_control_character_in_the_stamp():
+    answer = b"HTTP/1.1 200 OK\r\nX-Burdockmill-Server-Stamp: u-1.r-1\r\n\r\nbody"
+    rng = random.Random(1)
+    spoiled = {garble(GARBLED_ANSWERS, answer, rng) for _ in range(200)}
+    cut = {data for data, is_cut in spoiled if is_cut}
+    whole = {data for data, is_cut in spoiled if not is_cut} - {answer}
+    assert cut
+    assert all(answer.startswith(one) and HEAD_END not in one for one in cut)
+    assert whole
+    assert all(one.endswith(HEAD_END + b"body") for one in whole)
