--- a/soak/soak_host.py
+++ b/soak/soak_host.py
@@ -116,7 +116,10 @@
         self._process.is_end_expected = True
         self._is_paused_since_stop = False
         self.signal(signal.SIGTERM)
+        began_ms = now_ms()
         has_ended = await self._process.wait(GRACE_S + END_SLACK_S)
+        took_ms = round(now_ms() - began_ms)
+        self._log.write(json.dumps({"ended": has_ended, "stop_ms": took_ms}) + "\n")
         # A process that stands still can't end in time.
         if not has_ended and not self._is_paused_since_stop:
             self._on_unexpected_end(f"host {self.number} outlived its grace time")
