Soak: count a suspicion of a host as soon as it serves

Cause: MEMBERS left out the first second after a host's start.

Change: no time is left out after a planned start.

--- a/soak/check_members.py
+++ b/soak/check_members.py
@@ -8,8 +8,6 @@
 from soak.records import RunRecord, Suspicion
 from soak.violation import Violation
 
-# A host that has just started may not be known under its new incarnation.
-STARTED_MS = 1_000.0
 SUSPICIONS_ALLOWED = 1
 
 
@@ -28,7 +26,7 @@
             continue
         if is_planned and one.host == suspicion.host:
             continue
-        since_ms = STARTED_MS if is_planned else STABLE_MS
+        since_ms = 0.0 if is_planned else STABLE_MS
         if one.from_ms <= suspicion.at_ms <= one.to_ms + since_ms:
             return False
     return True
