Hold back requests under which upstreams fall silent

Cause: RunSuspicion recorded only ends of connections. An attempt without a reply left no trace, as a slow request, a pause or a cut link looks the same.

Change: an upstream that has not replied to an attempt for long gets a second connection; if that gets no reply either while others do, its unanswered attempts are blamed. A new run in the store shows it as well. Replies of the same run take it back. A canary goes over a new connection, so that its upstream certainly ran; crashes on kept ones are no deeper than those known before. Two silent canaries are enough.

--- a/burdockmill/clients/_lifo_connector.py
+++ b/burdockmill/clients/_lifo_connector.py
@@ -6,21 +6,23 @@
 from time import monotonic
 from typing import TYPE_CHECKING
 
-from aiohttp import ClientConnectionError, ClientTimeout
+from aiohttp import ClientConnectionError
 
-from burdockmill.clients._reuse_checking_connector import ReuseCheckingConnector
+from burdockmill.clients._reuse_checking_connector import (
+    NO_TIMEOUT,
+    ReuseCheckingConnector,
+)
 from burdockmill.forwarding.messages import ConnectionState
 
 if TYPE_CHECKING:
     from collections import Counter
 
-    from aiohttp import ClientRequest
+    from aiohttp import ClientRequest, ClientTimeout
     from aiohttp.client_proto import ResponseHandler
     from aiohttp.client_reqrep import ConnectionKey
     from aiohttp.connector import Connection
     from aiohttp.tracing import Trace
 
-NO_TIMEOUT = ClientTimeout(total=None, connect=None, sock_connect=None)
 KEEPALIVE_S = 30.0
 BACKOFF_FIRST_S = 0.05
 BACKOFF_MAX_S = 2.0
--- a/burdockmill/clients/_reuse_checking_connector.py
+++ b/burdockmill/clients/_reuse_checking_connector.py
@@ -6,18 +6,21 @@
 from time import monotonic
 from typing import TYPE_CHECKING, Any, cast
 
-from aiohttp import TCPConnector
+from aiohttp import ClientTimeout, TCPConnector
+from aiohttp.connector import Connection
 
 from burdockmill.clients._reuse_checking_handler import ReuseCheckingHandler
 
 if TYPE_CHECKING:
-    from aiohttp import ClientRequest, ClientTimeout
+    from aiohttp import ClientRequest
     from aiohttp.client_proto import ResponseHandler
     from aiohttp.client_reqrep import ConnectionKey
-    from aiohttp.connector import Connection
     from aiohttp.tracing import Trace
 
 
+NO_TIMEOUT = ClientTimeout(total=None, connect=None, sock_connect=None)
+
+
 class ReuseCheckingConnector(TCPConnector):
     """Reuse only connections that the upstream still keeps open for requests."""
 
@@ -34,6 +37,19 @@
         if timeout_s is not None:
             self._idle_timeout_s = timeout_s
 
+    async def connect_new(self, route: ClientRequest) -> Connection:
+        """Return a connection over which the upstream has shown that it runs now."""
+        key = route.connection_key
+        if len(self._acquired) >= self._limit:
+            # A connection that becomes free has just carried a reply.
+            return await self.connect(route, [], NO_TIMEOUT)
+        entries = self._conns.get(key)
+        if entries and len(self._acquired) + len(entries) >= self._limit:
+            entries.popleft()[0].close()
+        protocol = await self._create_connection(route, [], NO_TIMEOUT)
+        self._acquired.add(protocol)
+        return Connection(self, key, protocol, self._loop)
+
     async def _create_connection(
         self, req: ClientRequest, traces: list[Trace], timeout: ClientTimeout
     ) -> ResponseHandler:
--- a/burdockmill/clients/_upstream_pool.py
+++ b/burdockmill/clients/_upstream_pool.py
@@ -13,6 +13,7 @@
     LifoConnector,
 )
 from burdockmill.clients.no_retry_session import NoRetrySession
+from burdockmill.forwarding.messages import LinkState
 
 if TYPE_CHECKING:
     from collections import Counter
@@ -25,6 +26,8 @@
 SPARE_CONNECTIONS = 2
 # A round trip between regions, with time for a busy upstream to accept.
 LINK_TEST_TIMEOUT_S = 0.15
+# A machine that runs replies to a connection sooner, also when the upstream is busy.
+SILENCE_TEST_TIMEOUT_S = 0.3
 
 
 class UpstreamPool:
@@ -79,6 +82,18 @@
             return False
         return True
 
+    async def test_silence(self) -> LinkState:
+        """Return whether the upstream replies at all to another connection."""
+        try:
+            async with asyncio.timeout(SILENCE_TEST_TIMEOUT_S):
+                await self.connector.open_new(self._session.route)
+        except TimeoutError:
+            self._counts["silence_tests_unanswered"] += 1
+            return LinkState.SILENT
+        except (ClientError, OSError):
+            return LinkState.REFUSED
+        return LinkState.ACCEPTED
+
     def resize(self, limit: int) -> None:
         """Change the limit; connections above it close once they are idle."""
         self.connector.resize(limit)
--- a/burdockmill/clients/forwarding_client.py
+++ b/burdockmill/clients/forwarding_client.py
@@ -16,6 +16,7 @@
     AttemptEnd,
     AttemptOutcome,
     ConnectionState,
+    LinkState,
     Ownership,
 )
 
@@ -120,6 +121,10 @@
         """Return whether an upstream accepts another connection soon."""
         return await self._pool_for(upstream).test_link()
 
+    async def test_silence(self, upstream: Registration) -> LinkState:
+        """Return whether an upstream replies at all to another connection."""
+        return await self._pool_for(upstream).test_silence()
+
     def reset_backoffs(self) -> None:
         """Let all upstreams that refused connections be tried again at once."""
         for pool in self._pool_by_upstream.values():
@@ -181,6 +186,7 @@
                     start_write,
                     ownership,
                     self._budget,
+                    action.needs_new_connection,
                 )
             finally:
                 connect_timer.cancel()
--- a/burdockmill/clients/no_retry_session.py
+++ b/burdockmill/clients/no_retry_session.py
@@ -15,7 +15,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from burdockmill.clients._lifo_connector import NO_TIMEOUT
+from burdockmill.clients._reuse_checking_connector import NO_TIMEOUT
 from burdockmill.clients._reuse_checking_handler import ReuseCheckingHandler
 from burdockmill.clients._upstream_codec import WrongAnswerError
 from burdockmill.clients.receive_budget import ReceiveBudget
@@ -92,6 +92,7 @@
         start_write: Callable[[], CIMultiDict[str]],
         ownership: Callable[[Mapping[str, str]], Ownership] | None = None,
         budget: ReceiveBudget | None = None,
+        needs_new_connection: bool = False,
     ) -> HttpResponse:
         """Send a request and return its response.
 
@@ -102,7 +103,10 @@
         `budget` bounds the bytes of all answers that share it.
         Raise ClientError, OSError, WrongAnswerError or the errors of `start_write`.
         """
-        connection = await self._connector.connect(self.route, [], NO_TIMEOUT)
+        if needs_new_connection:
+            connection = await self._connector.connect_new(self.route)
+        else:
+            connection = await self._connector.connect(self.route, [], NO_TIMEOUT)
         try:
             headers = start_write()
         except BaseException:
--- a/burdockmill/clients/reach_prober.py
+++ b/burdockmill/clients/reach_prober.py
@@ -5,11 +5,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from burdockmill.forwarding.messages import LinkState
 from burdockmill.forwarding.reach_monitor import OpenAttempt
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Coroutine, Sequence
 
     from burdockmill.clients.forwarding_client import ForwardingClient
     from burdockmill.clock import Clock
@@ -57,9 +58,30 @@
             await asyncio.gather(*(self._test(one) for one in targets))
             on_end()
 
-        task = asyncio.get_running_loop().create_task(test())
-        self._single_tests.add(task)
-        task.add_done_callback(self._single_tests.discard)
+        self._run_once(test())
+
+    def test_silence(
+        self,
+        upstream: Registration,
+        controls: Sequence[Registration],
+        on_end: Callable[[Registration, float, LinkState, float], None],
+    ) -> None:
+        """Connect to an upstream, and to `controls` if nothing is heard meanwhile.
+
+        `on_end` gets the upstream, when the test began, the result, and the time of
+        the clock.
+        """
+
+        async def test() -> None:
+            began_ms = self._clock.now_ms()
+            state = await self._client.test_silence(upstream)
+            if state is LinkState.ACCEPTED:
+                self._monitor.heard(upstream, self._clock.now_ms())
+            elif self._monitor.reach.heard_ms <= began_ms:
+                await asyncio.gather(*(self._test(one) for one in controls))
+            on_end(upstream, began_ms, state, self._clock.now_ms())
+
+        self._run_once(test())
 
     async def close(self) -> None:
         """Stop testing."""
@@ -68,6 +90,11 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _run_once(self, test: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(test)
+        self._single_tests.add(task)
+        task.add_done_callback(self._single_tests.discard)
+
     async def _run(self) -> None:
         try:
             while targets := self._targets():
--- a/burdockmill/forwarding/actions.py
+++ b/burdockmill/forwarding/actions.py
@@ -14,13 +14,17 @@
 
 
 class SendAttempt(NamedTuple):
-    """Send an attempt to an upstream; `deadline_ms` is a clock time."""
+    """Send an attempt to an upstream; `deadline_ms` is a clock time.
+
+    With `needs_new_connection` the upstream has to accept one first.
+    """
 
     attempt: int
     part: int
     upstream: Registration
     kind: AttemptKind
     deadline_ms: float
+    needs_new_connection: bool = False
 
 
 class WithdrawAttempt(NamedTuple):
--- a/burdockmill/forwarding/crash_guard.py
+++ b/burdockmill/forwarding/crash_guard.py
@@ -5,12 +5,12 @@
 import math
 from collections import Counter
 from enum import StrEnum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from burdockmill.forwarding.upstream_notices import Incarnation
 from burdockmill.messages.suspects import SuspectsChanged
 from burdockmill.placement import rendezvous
-from burdockmill.policies.crash_blame import Crash
+from burdockmill.policies.crash_blame import HELD_DEPTH, Crash
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable, Mapping
@@ -22,6 +22,9 @@
 
 # An upstream that ended is back after some seconds; a reply before that disproves it.
 DISPROOF_MS = 1_000.0
+# The store shows a new incarnation within this time; until then a reply may be from
+# the next run of an upstream that fell silent.
+REGISTRATION_DELAY_MS = 2_500.0
 # A trial without an outcome for this long no longer prevents another one.
 TRIAL_LIMIT_MS = 5_000.0
 # A trial that is due happens at the host that a client reaches only by chance.
@@ -32,7 +35,7 @@
 # since each report reaches every host several times.
 SHARES_BURST = 16.0
 SHARES_PER_MS = 0.001
-# Ended upstreams beyond this number are discarded, oldest first.
+# Ended or silent upstreams beyond this number are discarded, oldest first.
 ENDED_LIMIT = 1_024
 
 
@@ -45,6 +48,16 @@
     HELD = "held"
 
 
+class SilentUpstream:
+    """Store when an upstream fell silent, and when it first replied after that."""
+
+    __slots__ = ("replied_ms", "since_ms")
+
+    def __init__(self, since_ms: float) -> None:
+        self.since_ms = since_ms
+        self.replied_ms: float | None = None
+
+
 class CrashGuard:
     """Record crashes and answers of requests, and decide which are sent."""
 
@@ -61,6 +74,7 @@
         self._live_hosts = live_hosts
         self._post = post
         self._ended_ms_by_incarnation: dict[Incarnation, float] = {}
+        self._silent_by_incarnation: dict[Incarnation, SilentUpstream] = {}
         self._shares = SHARES_BURST
         self._refilled_ms = 0.0
 
@@ -103,19 +117,29 @@
         return 0 if row is None else row.depth
 
     def crashed(
-        self, key: str, upstream: Registration, known_depth: int, now_ms: float
+        self,
+        key: str,
+        upstream: Registration,
+        known_depth: int,
+        now_ms: float,
+        is_silent: bool = False,
     ) -> None:
         """Record that an upstream seems to have ended under a request.
 
-        `known_depth` is what `depth` returned when the attempt was sent.
+        `known_depth` is what `depth` returned when the attempt was sent. `is_silent` is
+        whether its connections did not end.
         """
         incarnation = Incarnation.of(upstream)
-        self._ended_ms_by_incarnation[incarnation] = now_ms
-        if len(self._ended_ms_by_incarnation) > ENDED_LIMIT:
-            oldest = next(iter(self._ended_ms_by_incarnation))
-            del self._ended_ms_by_incarnation[oldest]
+        if incarnation not in self._silent_by_incarnation:
+            self._ended_ms_by_incarnation[incarnation] = now_ms
+            _discard_oldest(self._ended_ms_by_incarnation)
         known = self.depth(key)
-        crash = Crash(self._host, known_depth + 1, now_ms)
+        # An answer since then has started another round.
+        depth = min(known_depth, known) + 1
+        if is_silent and depth > 1 and known >= depth:
+            # Silence shows late, when one canary after the other may have been sent.
+            depth = max(depth, HELD_DEPTH)
+        crash = Crash(self._host, depth, now_ms)
         row = self.suspects.record(key, incarnation, crash, now_ms)
         if row is None or row.depth <= known:
             return
@@ -136,11 +160,24 @@
             if row is not None and row.is_shared:
                 self._publish(row)
 
+    def fell_silent(self, upstream: Registration, now_ms: float) -> None:
+        """Record that an upstream neither replies nor accepts connections."""
+        self.counts["upstreams_fell_silent"] += 1
+        self._silent_by_incarnation[Incarnation.of(upstream)] = SilentUpstream(now_ms)
+        _discard_oldest(self._silent_by_incarnation)
+
+    def is_silent(self, incarnation: Incarnation) -> bool:
+        """Return whether an upstream fell silent, and did not come back since."""
+        return incarnation in self._silent_by_incarnation
+
     def replied(self, upstream: Registration, sent_ms: float, now_ms: float) -> None:
         """Record a reply to an attempt, which shows that its upstream still runs."""
-        if not self._ended_ms_by_incarnation:
+        if not self._ended_ms_by_incarnation and not self._silent_by_incarnation:
             return
         incarnation = Incarnation.of(upstream)
+        if self._is_same_run(incarnation, sent_ms, now_ms):
+            del self._silent_by_incarnation[incarnation]
+            self.disprove(incarnation, now_ms)
         ended_ms = self._ended_ms_by_incarnation.get(incarnation)
         if ended_ms is not None and sent_ms > ended_ms:
             del self._ended_ms_by_incarnation[incarnation]
@@ -193,6 +230,19 @@
             ],
         }
 
+    def _is_same_run(
+        self, incarnation: Incarnation, sent_ms: float, now_ms: float
+    ) -> bool:
+        """Return whether a reply shows that an upstream was only silent for a while."""
+        silent = self._silent_by_incarnation.get(incarnation)
+        if silent is None:
+            return False
+        if sent_ms <= silent.since_ms:
+            return True
+        if silent.replied_ms is None:
+            silent.replied_ms = now_ms
+        return sent_ms - silent.replied_ms >= REGISTRATION_DELAY_MS
+
     def _publish(self, row: SuspectRow) -> None:
         row.is_shared = True
         self._post(SuspectsChanged((row.key,)))
@@ -202,3 +252,8 @@
         hosts = {crash.host for crash in row.crash_by_incarnation.values()}
         live = hosts.intersection(self._live_hosts()) | (hosts & {self._host})
         return rendezvous(live, row.key)
+
+
+def _discard_oldest(by_incarnation: dict[Incarnation, Any]) -> None:
+    if len(by_incarnation) > ENDED_LIMIT:
+        del by_incarnation[next(iter(by_incarnation))]
--- a/burdockmill/forwarding/data_path.py
+++ b/burdockmill/forwarding/data_path.py
@@ -17,6 +17,7 @@
 from burdockmill.forwarding.reach_monitor import ReachMonitor
 from burdockmill.forwarding.reach_timer import ReachTimer
 from burdockmill.forwarding.request_log import RequestLog
+from burdockmill.forwarding.silence_monitor import SilenceMonitor
 from burdockmill.forwarding.token_gate import TokenGate
 from burdockmill.forwarding.upstream_notices import UpstreamNotices
 from burdockmill.forwarding.weighted_choice import WeightedChoices
@@ -111,6 +112,12 @@
         self.prober = ReachProber(
             self.reach, self.client, clock, self._reach_targets, world.rng
         )
+        self.silence = SilenceMonitor(
+            self.reach,
+            self.guard,
+            self._test_silence,
+            lambda *fell: self.forwarder.fell_silent(*fell),
+        )
         self.relay_planner = RelayPlanner(
             world.reach,
             world.peer_reach,
@@ -143,8 +150,11 @@
             lambda: self.reach_timer.start(),
             self.relay_planner,
             self.relay_client,
+            self.silence,
+        )
+        self.reach_timer = ReachTimer(
+            self.reach, self.silence, clock, self.forwarder.open_attempts
         )
-        self.reach_timer = ReachTimer(self.reach, clock, self.forwarder.open_attempts)
 
     def apply(self, settings: ForwardingSettings) -> None:
         """Apply changed limits of repeat attempts."""
@@ -184,6 +194,7 @@
             if observation.started_ms != registration.started_ms:
                 cold_until_ms = now_ms + registration.cold_ms
                 self._world.reach.forget(upstream)
+                self.silence.restarted(upstream, observation.started_ms, now_ms)
                 self.observations.reset(
                     upstream, registration.started_ms, cold_until_ms
                 )
@@ -205,6 +216,11 @@
         targets = evidence_targets(usable, services, self._domain, self._world.rng)
         self.prober.test_now(targets, lambda: self._post(LinksTested()))
 
+    def _test_silence(self, upstream: Registration) -> None:
+        usable = self._usable_upstreams()
+        others = evidence_targets(usable, (), self._domain, self._world.rng)
+        self.prober.test_silence(upstream, others, self.silence.tested)
+
     def _reach_targets(self) -> list[Registration]:
         usable = self._usable_upstreams()
         reach = self._world.reach
--- a/burdockmill/forwarding/forwarder.py
+++ b/burdockmill/forwarding/forwarder.py
@@ -39,6 +39,8 @@
     from burdockmill.forwarding.reach_monitor import OpenAttempt, ReachMonitor
     from burdockmill.forwarding.request_log import RequestLog
     from burdockmill.forwarding.routes import Route
+    from burdockmill.forwarding.silence_monitor import SilenceMonitor
+    from burdockmill.forwarding.upstream_notices import Incarnation
     from burdockmill.forwarding.weighted_choice import WeightedChoices
     from burdockmill.names import ServiceId
     from burdockmill.relay.relay_planner import RelayPlanner
@@ -66,6 +68,7 @@
         on_attempt: Callable[[], None],
         relay_planner: RelayPlanner,
         relay_client: RelayClient,
+        silence: SilenceMonitor,
     ) -> None:
         self.counts: Counter[str] = Counter()
         self.open_runs: set[RunExecutor] = set()
@@ -78,6 +81,7 @@
         self.relay_planner = relay_planner
         self.relay_client = relay_client
         self.stop_times: StopTimes | None = None
+        self.silence = silence
         self._catalog = catalog
         self._keys = count()
         self._choices = choices
@@ -127,6 +131,13 @@
         for executor in self.open_runs:
             yield from executor.open_attempts()
 
+    def fell_silent(
+        self, incarnation: Incarnation, since_ms: float, now_ms: float
+    ) -> None:
+        """Let requests take account of an upstream that fell silent under them."""
+        for executor in list(self.open_runs):
+            executor.fell_silent(incarnation, since_ms, now_ms)
+
     def reconsider(self) -> None:
         """Let requests take another way, since this host learned who reaches what."""
         for executor in list(self.open_runs):
--- a/burdockmill/forwarding/messages.py
+++ b/burdockmill/forwarding/messages.py
@@ -145,6 +145,14 @@
     BUSY = "busy"
 
 
+class LinkState(StrEnum):
+    """Enumerate what becomes of a new connection to an upstream."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
 class Ownership(StrEnum):
     """Enumerate whose answer a response is, by the request id that it states."""
 
--- a/burdockmill/forwarding/part_run.py
+++ b/burdockmill/forwarding/part_run.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from burdockmill.forwarding.messages import AttemptEnd, AttemptKind
+from burdockmill.forwarding.upstream_notices import Incarnation
 
 if TYPE_CHECKING:
     from burdockmill.forwarding.messages import (
@@ -112,6 +113,23 @@
         """Return the upstreams that an attempt was sent to."""
         return {row.upstream.upstream for row in self.attempts}
 
+    def unanswered_at(
+        self, incarnation: Incarnation, since_ms: float
+    ) -> list[AttemptRow]:
+        """Return the attempts before a time that got no reply of an upstream.
+
+        There are none if the part has an answer.
+        """
+        if self.answer is not None:
+            return []
+        return [
+            row
+            for row in self.attempts
+            if Incarnation.of(row.upstream) == incarnation
+            and row.sent_ms < since_ms
+            and (row.outcome is None or row.outcome.end is AttemptEnd.SILENT)
+        ]
+
     def failure(self) -> UpstreamAnswer | None:
         """Return the last error response of an upstream, or None."""
         for row in reversed(self.attempts):
--- a/burdockmill/forwarding/reach_monitor.py
+++ b/burdockmill/forwarding/reach_monitor.py
@@ -14,6 +14,7 @@
 
     from burdockmill.forwarding.messages import AttemptOutcome, Registration
     from burdockmill.forwarding.observations import Observations
+    from burdockmill.names import UpstreamId
     from burdockmill.tables.upstream_reach import UpstreamReach
 
 # An attempt without a reply counts as silent after this multiple of the upstream's
@@ -34,10 +35,14 @@
 
 
 class OpenAttempt(NamedTuple):
-    """Describe an attempt in flight; `since_ms` is the clock time of its start."""
+    """Describe an attempt in flight; `since_ms` is the clock time of its start.
+
+    `is_written` is whether its request may have been sent.
+    """
 
     upstream: Registration
     since_ms: float
+    is_written: bool = True
 
 
 class ReachMonitor:
@@ -111,6 +116,14 @@
         """Record that an upstream accepted no connection."""
         self._failed(attempt, ReachFailure.UNCONNECTED, now_ms)
 
+    def reply_limit_ms(self, upstream: UpstreamId) -> float:
+        """Return how long an upstream takes to reply at most if it is well."""
+        latency_ms = self._observations.of(upstream).latency_ms
+        if latency_ms is None:
+            return UNKNOWN_SILENT_MS
+        limit_ms = SILENT_LATENCY_FACTOR * latency_ms + SILENT_EXTRA_MS
+        return max(MIN_SILENT_MS, limit_ms)
+
     def _failed(self, attempt: OpenAttempt, kind: ReachFailure, now_ms: float) -> None:
         self.reach.failed(attempt.upstream, kind, attempt.since_ms)
         self._review(now_ms)
@@ -135,9 +148,4 @@
         upstream = attempt.upstream.upstream
         if attempt.since_ms <= self.reach.heard_of_ms(upstream):
             return False
-        latency_ms = self._observations.of(upstream).latency_ms
-        if latency_ms is None:
-            limit_ms = UNKNOWN_SILENT_MS
-        else:
-            limit_ms = SILENT_LATENCY_FACTOR * latency_ms + SILENT_EXTRA_MS
-        return now_ms - attempt.since_ms >= max(MIN_SILENT_MS, limit_ms)
+        return now_ms - attempt.since_ms >= self.reply_limit_ms(upstream)
--- a/burdockmill/forwarding/reach_timer.py
+++ b/burdockmill/forwarding/reach_timer.py
@@ -10,21 +10,24 @@
 
     from burdockmill.clock import Clock
     from burdockmill.forwarding.reach_monitor import OpenAttempt, ReachMonitor
+    from burdockmill.forwarding.silence_monitor import SilenceMonitor
 
 MILLISECONDS_PER_SECOND = 1_000
 CHECK_INTERVAL_MS = 40.0
 
 
 class ReachTimer:
-    """Run the monitor's check periodically while there are attempts in flight."""
+    """Run the monitors' checks periodically while there are attempts in flight."""
 
     def __init__(
         self,
         monitor: ReachMonitor,
+        silence: SilenceMonitor,
         clock: Clock,
         attempts: Callable[[], Iterable[OpenAttempt]],
     ) -> None:
         self._monitor = monitor
+        self._silence = silence
         self._clock = clock
         self._attempts = attempts
         self._timer: asyncio.TimerHandle | None = None
@@ -44,9 +47,10 @@
     def _check(self) -> None:
         self._timer = None
         attempts = list(self._attempts())
-        if not attempts:
-            return
         now_ms = self._clock.now_ms()
+        if not attempts and not self._silence.is_testing(now_ms):
+            return
         if now_ms - self._monitor.reach.heard_ms >= CHECK_INTERVAL_MS:
             self._monitor.check(attempts, now_ms)
+        self._silence.check(attempts, now_ms)
         self.start()
--- a/burdockmill/forwarding/request_run.py
+++ b/burdockmill/forwarding/request_run.py
@@ -14,10 +14,7 @@
 from burdockmill.forwarding.answer_decision import AnswerDecision
 from burdockmill.forwarding.failures import held_back
 from burdockmill.forwarding.hedge_queue import HedgeQueue
-from burdockmill.forwarding.messages import (
-    AttemptEnd,
-    AttemptKind,
-)
+from burdockmill.forwarding.messages import AttemptEnd, AttemptKind
 from burdockmill.forwarding.part_run import AttemptRow, PartRun
 from burdockmill.forwarding.run_suspicion import RunSuspicion
 from burdockmill.policies.answer_timing import answer_times
@@ -227,7 +224,10 @@
         deadline_ms = min(
             self.request.deadline_ms, self.request.received_ms + self.route.timeout_ms
         )
-        actions.append(SendAttempt(number, part.index, upstream, kind, deadline_ms))
+        is_canary = self.suspicion.is_cautious
+        actions.append(
+            SendAttempt(number, part.index, upstream, kind, deadline_ms, is_canary)
+        )
         self.suspicion.sent(number, part.service)
 
     def _probe(
--- a/burdockmill/forwarding/run_executor.py
+++ b/burdockmill/forwarding/run_executor.py
@@ -68,10 +68,9 @@
         """Return the attempts in flight, but not those that wait for a token."""
         for part in self._direct.parts:
             for row in part.in_flight:
-                if isinstance(
-                    self._sending_by_attempt.get(row.number), InFlightAttempt
-                ):
-                    yield OpenAttempt(row.upstream, row.sent_ms)
+                sending = self._sending_by_attempt.get(row.number)
+                if isinstance(sending, InFlightAttempt):
+                    yield OpenAttempt(row.upstream, row.sent_ms, sending.written)
 
     def cancel(self) -> None:
         """Cancel every attempt, since the client has disconnected."""
@@ -89,6 +88,19 @@
         self._direct.answering.end_by(now_ms)
         self._execute(self._run.tick(now_ms), now_ms)
 
+    def fell_silent(
+        self, incarnation: Incarnation, since_ms: float, now_ms: float
+    ) -> None:
+        """Record that an upstream fell silent under attempts sent before a time."""
+        suspicion = self._direct.suspicion
+        for part in self._direct.parts:
+            for row in part.unanswered_at(incarnation, since_ms):
+                sending = self._sending_by_attempt.get(row.number)
+                if row.outcome is not None or (sending and sending.written):
+                    suspicion.fell_silent(row, part.service, now_ms)
+        if suspicion.has_crashes and (self._run.completed or suspicion.is_urgent):
+            self._share_crashes()
+
     def reconsider(self) -> None:
         """Take another way if this host has learned who reaches what."""
         now_ms = self._forwarder.clock.now_ms()
@@ -155,12 +167,11 @@
             forwarder.log.limited(self._direct, action, outcome, now_ms)
         was_needed = not self._direct.is_complete(action.part)
         end = outcome.end
-        forwarder.reach.ended(
-            OpenAttempt(action.upstream, self._direct.sent_ms(action.attempt)),
-            outcome,
-            now_ms,
-            was_needed,
-        )
+        attempt = OpenAttempt(action.upstream, self._direct.sent_ms(action.attempt))
+        forwarder.reach.ended(attempt, outcome, now_ms, was_needed)
+        if end is AttemptEnd.SILENT:
+            part = self._direct.parts[action.part]
+            forwarder.silence.keep(part, action.attempt, self._direct.suspicion, now_ms)
         if end is AttemptEnd.NOT_SENT and not was_needed:
             # Withdrawn before it was written: not an observation of the upstream.
             observations.of(action.upstream.upstream).withdrawn(key)
--- a/burdockmill/forwarding/run_suspicion.py
+++ b/burdockmill/forwarding/run_suspicion.py
@@ -42,21 +42,30 @@
         self.has_given_up = False
         self.canary: int | None = None
         self.waiting: list[tuple[PartRun, AttemptKind]] = []
-        self._request = request
+        self._request: ForwardedRequest | None = request
         self._is_search = is_search
         self._guard = guard
         self._crashed_domains: set[DomainId] = set()
         # The keys of which this run is a trial: the request's, or those of shards.
         self._trial_keys: set[str] = set()
         self._has_answer = False
+        self._canaries: set[int] = set()
+        # Whether an attempt in flight has to be replaced since its upstream is silent.
+        self._lacks_attempt = False
         self._unanswered_keys: set[str] = set()
         self._known_depth: dict[tuple[int, str], int] = {}
 
     @cached_property
     def digest(self) -> RequestDigest:
         """Return the digest of the request, computed at its first use."""
+        assert self._request is not None
         return digest_of(self._request)
 
+    def release_request(self) -> None:
+        """Compute the digest, and keep the request itself no longer."""
+        if self.digest:
+            self._request = None
+
     @property
     def has_crashes(self) -> bool:
         """Return whether an upstream seems to have ended under this request."""
@@ -101,7 +110,9 @@
 
     def may_hedge(self, service: ServiceId) -> bool:
         """Return whether a part may be sent to a second upstream beside the first."""
-        return not self.is_cautious and self.may_retry(service)
+        if self.is_cautious and (self.canary is not None or not self._lacks_attempt):
+            return False
+        return self.may_retry(service)
 
     def must_wait(self, part: PartRun, kind: AttemptKind) -> bool:
         """Return whether an attempt has to wait for the canary; it is queued then."""
@@ -114,6 +125,8 @@
         """Record an attempt; it is the canary if the run is cautious."""
         if self.is_cautious:
             self.canary = attempt
+            self._canaries.add(attempt)
+            self._lacks_attempt = False
         if self._guard.suspects:
             for key in self._keys(service):
                 if depth := self._guard.depth(key):
@@ -147,6 +160,22 @@
         elif not outcome.end.certainly_not_run:
             self._end_trials(service, now_ms)
 
+    def fell_silent(self, row: AttemptRow, service: ServiceId, now_ms: float) -> None:
+        """Record that an upstream fell silent under an attempt without a reply.
+
+        The attempt may go on, and another one takes its place beside it. Its upstream
+        may have ended before it was sent, unless it accepted the connection for it.
+        """
+        was_canary = self.canary == row.number
+        if was_canary:
+            self.canary = None
+        self._lacks_attempt = True
+        if row.number not in self._canaries:
+            for key in self._keys(service):
+                depth = self._known_depth.get((row.number, key), 0)
+                self._known_depth[row.number, key] = max(0, depth - 1)
+        self._crashed(row, service, was_canary, now_ms, is_silent=True)
+
     def answered_elsewhere(self, now_ms: float) -> None:
         """Record that the request got an answer by way of another host."""
         if self._guard.suspects:
@@ -168,7 +197,12 @@
             self._unanswered_keys -= set(keys)
 
     def _crashed(
-        self, row: AttemptRow, service: ServiceId, was_canary: bool, now_ms: float
+        self,
+        row: AttemptRow,
+        service: ServiceId,
+        was_canary: bool,
+        now_ms: float,
+        is_silent: bool = False,
     ) -> None:
         """Record that an upstream ended while it ran an attempt."""
         keys = self._keys(service)
@@ -180,7 +214,7 @@
         for key in keys:
             self._unanswered_keys.add(key)
             depth = self._known_depth.get((row.number, key), 0)
-            self._guard.crashed(key, row.upstream, depth, now_ms)
+            self._guard.crashed(key, row.upstream, depth, now_ms, is_silent)
         self._end_trials(service, now_ms)
         if was_canary and self._guard.crash_count(self.digest) >= HELD_DEPTH:
             self.has_given_up = True
