Run the other events and systems of a tick when one system fails

An event that made one system raise ended the tick: events that arrived with it were lost for all systems, and so were the actions of those that had run. A timer that the failed system had not popped made the pump tick without pause. One action that failed lost those after it at a forwarding host.

The pump takes the failures of systems: events after the one that failed stay in the queue, other systems run, the failure is counted, and logged every 10 s per system at most. After it the next timer waits at least 100 ms. Callers of `tick` that take no failures, as tests, get the error as before. What a system had decided earlier in the very run that fails is still lost.

--- a/burdockmill/engine.py
+++ b/burdockmill/engine.py
@@ -11,7 +11,7 @@
 from burdockmill.systems.pause_system import PauseSystem
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from burdockmill.messages.actions import Action
     from burdockmill.messages.events import Event
@@ -29,6 +29,9 @@
         pause_system: PauseSystem | None = None,
     ) -> None:
         self.world = world
+        # Receives the name of a system that fails and the error, instead of the caller
+        # of `tick`; the other events and systems then run on.
+        self.on_failure: Callable[[str, Exception], None] | None = None
         self._pause_system = pause_system or PauseSystem()
         self._arrived: list[Event] = []
         self._systems = (self._pause_system, *systems)
@@ -65,14 +68,32 @@
         return actions
 
     def _run_ready(self, now_ms: float, actions: list[Action]) -> None:
+        blocked: set[str] = set()
         ready = self._ready_systems(now_ms)
         while ready:
             for system in ready:
-                self._dispatch(system.run(self.world, now_ms), actions)
+                self._dispatch(self._run_system(system, now_ms, blocked), actions)
                 self._announce(actions)
                 for event in self._pause_system.drain_released():
                     self._route(event)
             ready = self._ready_systems(now_ms)
+            if blocked:
+                ready = [one for one in ready if one.name not in blocked]
+
+    def _run_system(
+        self, system: System, now_ms: float, blocked: set[str]
+    ) -> list[Action]:
+        """Run a system; block it if it fails without having handled an event."""
+        queued = self.world.queued_events(system.name)
+        try:
+            return system.run(self.world, now_ms)
+        except Exception as error:
+            if self.on_failure is None:
+                raise
+            self.on_failure(system.name, error)
+            if self.world.queued_events(system.name) in (0, queued):
+                blocked.add(system.name)
+            return []
 
     def open_work(self) -> int:
         """Return how many attempts and ticket handovers this host has not completed."""
--- a/burdockmill/engine_pump.py
+++ b/burdockmill/engine_pump.py
@@ -17,6 +17,8 @@
     from burdockmill.messages.events import Event
 
 MILLISECONDS_PER_SECOND = 1_000
+FAILED_WAIT_MS = 100.0
+FAILURE_LOG_INTERVAL_MS = 10_000.0
 
 
 class EnginePump:
@@ -36,6 +38,9 @@
         self._is_tick_queued = False
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due_ms = 0.0
+        self._failed_in_tick = False
+        self._logged_ms_by_system: dict[str, float] = {}
+        engine.on_failure = self._record_failure
 
     def post(self, event: Event) -> None:
         """Queue an event for the next tick, which the event loop runs soon."""
@@ -56,14 +61,27 @@
 
     def _tick(self) -> None:
         self._is_tick_queued = False
+        self._failed_in_tick = False
         now_ms = self._clock.now_ms()
         try:
             self._carry_out(self._engine.tick(now_ms), now_ms)
         except Exception:
+            self._failed_in_tick = True
             self._counts["ticks_failed"] += 1
             logger.exception("core: a tick failed.")
         self._set_timer(now_ms)
 
+    def _record_failure(self, system: str, error: Exception) -> None:
+        """Count the failure of a system; log it at a bounded rate."""
+        self._failed_in_tick = True
+        self._counts["ticks_failed"] += 1
+        now_ms = self._clock.now_ms()
+        logged_ms = self._logged_ms_by_system.get(system)
+        if logged_ms is not None and now_ms - logged_ms < FAILURE_LOG_INTERVAL_MS:
+            return
+        self._logged_ms_by_system[system] = now_ms
+        logger.opt(exception=error).error("core: the {} system failed.", system)
+
     def _set_timer(self, now_ms: float) -> None:
         due_ms = self._engine.next_due_ms()
         if due_ms is None:
@@ -74,6 +92,8 @@
             # it after every event.
             return
         self.close()
-        wait_s = max(0.0, due_ms - now_ms) / MILLISECONDS_PER_SECOND
+        # A timer that a failed system leaves behind must not expire without end.
+        least_ms = FAILED_WAIT_MS if self._failed_in_tick else 0.0
+        wait_s = max(least_ms, due_ms - now_ms) / MILLISECONDS_PER_SECOND
         self._timer = asyncio.get_running_loop().call_later(wait_s, self._on_timer)
         self._timer_due_ms = due_ms
--- a/burdockmill/forwarding_node.py
+++ b/burdockmill/forwarding_node.py
@@ -289,21 +289,29 @@
 
     def _run_actions(self, actions: list[Action], now_ms: float) -> None:
         for action in actions:
-            match action:
-                case LogDecision():
-                    self._log_decision(action, now_ms)
-                case SendToPeer():
-                    self._send_to_peer(action)
-                case Announce(event=CatalogChanged() as change):
-                    self.data_path.follow_catalog(change, now_ms)
-                case Announce(event=LinkTestWanted(services=services)):
-                    self.data_path.test_links(services)
-                case Announce(event=ReachChanged()):
-                    self.data_path.forwarder.reconsider()
-                case Announce(event=TokensChanged() as tokens):
-                    self.data_path.gate.on_change(Incarnation(*tokens), now_ms)
+            try:
+                self._run_action(action, now_ms)
+            except Exception:
+                # The other actions of the tick are carried out all the same.
+                self.counts["actions_failed"] += 1
+                logger.exception("core: an action failed.")
         self.data_path.follow_hosts(now_ms)
 
+    def _run_action(self, action: Action, now_ms: float) -> None:
+        match action:
+            case LogDecision():
+                self._log_decision(action, now_ms)
+            case SendToPeer():
+                self._send_to_peer(action)
+            case Announce(event=CatalogChanged() as change):
+                self.data_path.follow_catalog(change, now_ms)
+            case Announce(event=LinkTestWanted(services=services)):
+                self.data_path.test_links(services)
+            case Announce(event=ReachChanged()):
+                self.data_path.forwarder.reconsider()
+            case Announce(event=TokensChanged() as tokens):
+                self.data_path.gate.on_change(Incarnation(*tokens), now_ms)
+
     def _log_decision(self, decision: LogDecision, now_ms: float) -> None:
         self.decisions.add(decision, now_ms)
         self._schedule_flush()
--- a/burdockmill/systems/pause_system.py
+++ b/burdockmill/systems/pause_system.py
@@ -67,7 +67,7 @@
         keys = world.due(self.name).pop_due(now_ms)
         if HEARTBEAT_KEY in keys:
             self._schedule_heartbeat(world, now_ms)
-        refreshed = bool(world.drain_events(self.name))
+        refreshed = bool(list(world.drain_events(self.name)))
         if not self.is_admitting and (refreshed or REFRESH_TIMEOUT_KEY in keys):
             reason = "the view is refreshed" if refreshed else "time limit"
             actions.append(self._resume(world, now_ms, reason))
--- a/burdockmill/world.py
+++ b/burdockmill/world.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter, defaultdict
+from collections import Counter, defaultdict, deque
 from typing import TYPE_CHECKING, Any
 
 from burdockmill.policies.rate_limiter import RateLimiter
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Iterator
 
     from burdockmill.messages.events import Event
     from burdockmill.names import DomainId, HostId, Revision, UpstreamId
@@ -64,7 +65,7 @@
         self._announced: list[Event] = []
         self._live_count_at_version = (-1, 0)
         self.systems_with_events: set[str] = set()
-        self._inbox_by_system: dict[str, list[Event]] = defaultdict(list)
+        self._inbox_by_system: dict[str, deque[Event]] = defaultdict(deque)
         self._due_by_system: dict[str, TimerQueue[Any]] = defaultdict(TimerQueue)
 
     @property
@@ -90,10 +91,19 @@
         self._inbox_by_system[system].append(event)
         self.systems_with_events.add(system)
 
-    def drain_events(self, system: str) -> list[Event]:
-        """Remove and return a system's events, oldest first."""
+    def drain_events(self, system: str) -> Iterator[Event]:
+        """Remove and yield a system's events, oldest first.
+
+        Those after one that makes the system fail stay in its queue.
+        """
+        inbox = self._inbox_by_system[system]
+        while inbox:
+            yield inbox.popleft()
         self.systems_with_events.discard(system)
-        return self._inbox_by_system.pop(system, [])
+
+    def queued_events(self, system: str) -> int:
+        """Return how many events a system has not handled."""
+        return len(self._inbox_by_system[system])
 
     def announce(self, event: Event) -> None:
         """Queue an event for the systems that handle it, and report it as an action."""
