Keep a message, a target or a link that fails from stopping the others

A message that could not be encoded, or an unknown error of a batch or its reply, ended the task that sends to that host, with the other messages of the batch undelivered and those behind it waiting for the next one. An unknown error of one link's test ended the tests of all links, and one of a warmed target kept those after it cold in each round.

--- a/burdockmill/clients/connection_warmer.py
+++ b/burdockmill/clients/connection_warmer.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from loguru import logger
+
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable, Iterable
@@ -38,8 +40,25 @@
         """Check all targets periodically until cancelled."""
         while True:
             for target in list(self._targets()):
-                if self._client.is_disconnected(target):
-                    self._client.open_in_background(target)
+                if self._open(target):
                     await asyncio.sleep(CONNECT_INTERVAL_S)
             jitter = self._rng.uniform(-ROUND_JITTER_FRACTION, ROUND_JITTER_FRACTION)
             await asyncio.sleep(ROUND_INTERVAL_S * (1.0 + jitter))
+
+    def _open(self, target: Registration) -> bool:
+        """Open a connection to a target that has none; return whether one opens."""
+        try:
+            if not self._client.is_disconnected(target):
+                return False
+            self._client.open_in_background(target)
+        except Exception as error:
+            # The other targets are warmed all the same.
+            self._client.counts["warm_up_broken"] += 1
+            logger.warning(
+                "upstream: no connection to {} can be opened ({}: {:.200}).",
+                target.upstream,
+                type(error).__name__,
+                str(error),
+            )
+            return False
+        return True
--- a/burdockmill/clients/peer_client.py
+++ b/burdockmill/clients/peer_client.py
@@ -9,6 +9,7 @@
 
 import msgspec
 from aiohttp import ClientConnectorError, ClientError
+from loguru import logger
 
 from burdockmill.clients._reuse_checking_connector import ReuseCheckingConnector
 from burdockmill.clients._upstream_codec import WrongAnswerError
@@ -148,28 +149,62 @@
         size = min(MESSAGES_PER_BATCH_LIMIT, len(queue.pending))
         messages = [queue.pending.popleft() for _ in range(size)]
         try:
-            body = msgspec.json.encode(make_batch(self._sender, messages))
-            response = await self._post(queue, body)
+            body = self._encode(queue.host, messages)
+            self._finish(queue.host, messages, await self._post(queue, body))
         except ClientConnectorError:
             self.counts["connect_failed"] += 1
             self._report_undelivered(queue.host, messages, Ran.NO)
         except (TimeoutError, ClientError, OSError, WrongAnswerError):
             self.counts["broken"] += 1
             self._report_undelivered(queue.host, messages, Ran.UNKNOWN)
-        except BaseException:
+        except asyncio.CancelledError:
             self.counts["stopped"] += 1
             self._report_undelivered(queue.host, messages, Ran.UNKNOWN)
             raise
+        except Exception as error:
+            # The next batch must not wait for good behind this one.
+            self.counts["failed"] += 1
+            logger.opt(exception=error).error("peers: a batch failed unexpectedly.")
+            self._report_undelivered(queue.host, messages, Ran.UNKNOWN)
+
+    def _finish(
+        self, host: HostId, messages: list[PeerMessage], response: HttpResponse
+    ) -> None:
+        self.counts["batches"] += 1
+        self.counts["messages"] += len(messages)
+        if response.status == OK:
+            self._confirm(host, messages, response.body)
         else:
-            self.counts["batches"] += 1
-            self.counts["messages"] += len(messages)
-            if response.status == OK:
-                self._confirm(queue.host, messages, response.body)
-            else:
-                self.counts["refused"] += 1
-                is_certain = response.status == NOTHING_ACCEPTED
-                ran = Ran.NO if is_certain else Ran.UNKNOWN
-                self._report_undelivered(queue.host, messages, ran)
+            self.counts["refused"] += 1
+            is_certain = response.status == NOTHING_ACCEPTED
+            ran = Ran.NO if is_certain else Ran.UNKNOWN
+            self._report_undelivered(host, messages, ran)
+
+    def _encode(self, host: HostId, messages: list[PeerMessage]) -> bytes:
+        """Encode a batch; leave out and report the messages that cannot be encoded."""
+        try:
+            return msgspec.json.encode(make_batch(self._sender, messages))
+        except Exception:
+            # Which errors an encoder raises depends on the values.
+            all_messages = list(messages)
+            messages[:] = [one for one in all_messages if self._is_encodable(one)]
+            left_out = [one for one in all_messages if one not in messages]
+            self._report_undelivered(host, left_out, Ran.NO)
+            return msgspec.json.encode(make_batch(self._sender, messages))
+
+    def _is_encodable(self, message: PeerMessage) -> bool:
+        try:
+            msgspec.json.encode(make_batch(self._sender, [message]))
+        except Exception as error:
+            self.counts["not_encodable"] += 1
+            logger.error(
+                "peers: a {} cannot be encoded ({}: {:.200}).",
+                type(message).__name__,
+                type(error).__name__,
+                str(error),
+            )
+            return False
+        return True
 
     async def _post(self, queue: _PeerQueue, body: bytes) -> HttpResponse:
         headers = self._headers
--- a/burdockmill/clients/reach_prober.py
+++ b/burdockmill/clients/reach_prober.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from loguru import logger
+
 from burdockmill.forwarding.messages import LinkState
 from burdockmill.forwarding.reach_monitor import OpenAttempt
 
@@ -55,8 +57,10 @@
         """Connect to some upstreams once, and call `on_end` after that."""
 
         async def test() -> None:
-            await asyncio.gather(*(self._test(one) for one in targets))
-            on_end()
+            try:
+                await asyncio.gather(*(self._test(one) for one in targets))
+            finally:
+                on_end()
 
         self._run_once(test())
 
@@ -111,9 +115,23 @@
     async def _test(self, upstream: Registration) -> None:
         self._client.counts["links_tested"] += 1
         attempt = OpenAttempt(upstream, self._clock.now_ms())
-        is_reached = await self._client.test_link(upstream)
+        is_reached = await self._is_reached(upstream)
         now_ms = self._clock.now_ms()
         if is_reached:
             self._monitor.heard(upstream, now_ms)
         else:
             self._monitor.unconnected(attempt, now_ms)
+
+    async def _is_reached(self, upstream: Registration) -> bool:
+        try:
+            return await self._client.test_link(upstream)
+        except Exception as error:
+            # The links to other upstreams are tested all the same.
+            self._client.counts["link_tests_broken"] += 1
+            logger.warning(
+                "reach: the link to {} cannot be tested ({}: {:.200}).",
+                upstream.upstream,
+                type(error).__name__,
+                str(error),
+            )
+            return False
