--- a/tests/test_silence_monitor.py
+++ b/tests/test_silence_monitor.py
@@ -5,14 +5,27 @@
 
 from burdockmill.clients._upstream_pool import UpstreamPool
 from burdockmill.forwarding.crash_guard import CrashGuard
-from burdockmill.forwarding.messages import LinkState
+from burdockmill.forwarding.messages import (
+    AttemptEnd,
+    AttemptKind,
+    AttemptOutcome,
+    LinkState,
+)
 from burdockmill.forwarding.observations import Observations
 from burdockmill.forwarding.reach_monitor import OpenAttempt, ReachMonitor
+from burdockmill.forwarding.request_digest import digest_of
 from burdockmill.forwarding.silence_monitor import SilenceMonitor
 from burdockmill.forwarding.upstream_notices import Incarnation
 from burdockmill.tables.crash_suspects import CrashSuspects
 from burdockmill.tables.upstream_reach import UpstreamReach
-from tests.builders_forwarding import make_registration, post_nothing
+from tests.builders_forwarding import (
+    Run,
+    make_planner,
+    make_registration,
+    make_request,
+    make_single_route,
+    post_nothing,
+)
 
 UPSTREAM = make_registration("u-1")
 OTHER = make_registration("u-2", domain="krk-a")
@@ -119,3 +132,56 @@
     for writer in accepted:
         writer.close()
     server.close()
+
+
+def fall_silent(run, attempt, now_ms):
+    [part] = run.run.parts
+    run.run.suspicion.fell_silent(part.attempts[attempt], part.service, now_ms)
+
+
+def test_a_suspected_request_goes_over_a_connection_that_is_accepted_for_it():
+    run = Run(make_single_route())
+    assert not run.sent[0].needs_new_connection
+    fall_silent(run, 0, 500.0)
+    again = Run(make_single_route(), run.planner, make_request("r-2"))
+    assert again.sent[0].needs_new_connection
+
+
+def test_a_crash_under_an_attempt_on_a_kept_connection_is_no_deeper_than_those_known():
+    run = Run(make_single_route())
+    guard, key = run.planner.guard, run.run.suspicion.digest
+    guard.crashed(key, make_registration("u-9"), 0, 1.0, is_silent=True)
+    run.tick(run.run.next_due_ms)
+    assert [one.kind for one in run.sent] == [AttemptKind.FIRST, AttemptKind.HEDGE]
+    fall_silent(run, 1, 900.0)
+    assert guard.depth(key) == 1
+
+
+def test_a_crash_under_a_canary_is_deeper_than_those_known():
+    planner, request = make_planner(), make_request()
+    key = digest_of(request)
+    planner.guard.crashed(key, make_registration("u-9"), 0, 1.0, is_silent=True)
+    fall_silent(Run(make_single_route(), planner, request), 0, 500.0)
+    assert planner.guard.depth(key) == 2
+
+
+def test_an_attempt_whose_upstream_is_silent_is_replaced_by_one_other():
+    run = Run(make_single_route(attempts_limit=4))
+    first_due_ms = run.run.next_due_ms
+    fall_silent(run, 0, first_due_ms - 1.0)
+    for _ in range(5):
+        run.tick(run.run.next_due_ms)
+    assert len(run.sent) == 2
+
+
+def test_an_attempt_that_ended_without_a_reply_is_blamed_once_its_upstream_is_back():
+    fixture = Fixture()
+    run = Run(make_single_route(attempts_limit=1))
+    run.end(0, AttemptOutcome(AttemptEnd.SILENT), 1_200.0)
+    [part] = run.run.parts
+    suspicion = run.run.suspicion
+    fixture.silence.keep(part, 0, suspicion, 1_200.0)
+    fixture.silence.restarted("u-other", 0, 4_000.0)
+    assert not run.planner.guard.crash_count(suspicion.digest)
+    fixture.silence.restarted(*Incarnation.of(run.sent[0].upstream), 4_000.0)
+    assert run.planner.guard.crash_count(suspicion.digest) == 1
