Learn from a relayed answer what a direct one teaches

Cause: UpstreamNotices, the token gate and the crash guard are told of direct attempts only. The entry of a relayed request sees neither which run of an upstream answered nor the parts of a merged answer.

Change: the host that runs a request states each reply of an upstream in it (its run, if it is leaving, the limit it names) in a header of its reply, and the entry learns from that.

--- a/burdockmill/clients/relay_client.py
+++ b/burdockmill/clients/relay_client.py
@@ -22,6 +22,7 @@
     relayed_request,
     result_of,
 )
+from burdockmill.relay.upstream_facts import FACTS_HEADER, decode_facts
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -160,10 +161,11 @@
             raise WrongAnswerError("length")
         reply, body = decode_reply(response.body)
         self._on_catalog(host, reply.catalog)
+        facts = decode_facts(response.headers.get(FACTS_HEADER, "[]"))
         result = result_of(reply, body)
         if result is None:
-            return RelayOutcome(RelayEnd.DECLINED, detail=reply.detail)
-        return RelayOutcome(RelayEnd.ANSWERED, result)
+            return RelayOutcome(RelayEnd.DECLINED, None, reply.detail, facts)
+        return RelayOutcome(RelayEnd.ANSWERED, result, facts=facts)
 
     def _pool_of(self, address: Address) -> UpstreamPool:
         pool = self._pool_by_address.get(address)
--- a/burdockmill/forwarding/forwarder.py
+++ b/burdockmill/forwarding/forwarder.py
@@ -13,8 +13,10 @@
     StoppingError,
     UnknownRouteError,
 )
+from burdockmill.forwarding.messages import AttemptEnd, AttemptOutcome
 from burdockmill.forwarding.request_run import RequestRun
 from burdockmill.forwarding.run_executor import RunExecutor
+from burdockmill.forwarding.upstream_notices import Incarnation
 from burdockmill.policies.late_admission import (
     RETRY_AFTER_MS,
     LateRequest,
@@ -40,10 +42,10 @@
     from burdockmill.forwarding.request_log import RequestLog
     from burdockmill.forwarding.routes import Route
     from burdockmill.forwarding.silence_monitor import SilenceMonitor
-    from burdockmill.forwarding.upstream_notices import Incarnation
     from burdockmill.forwarding.weighted_choice import WeightedChoices
     from burdockmill.names import ServiceId
     from burdockmill.relay.relay_planner import RelayPlanner
+    from burdockmill.relay.upstream_facts import UpstreamFact
     from burdockmill.tables.catalog import Catalog
 
     Result = UpstreamAnswer | MergedAnswer
@@ -92,11 +94,15 @@
         return next(self._keys)
 
     async def forward(
-        self, request: ForwardedRequest, attempts_limit: int | None = None
+        self,
+        request: ForwardedRequest,
+        attempts_limit: int | None = None,
+        facts: list[UpstreamFact] | None = None,
     ) -> Result:
         """Return a request's answer; raise a BurdockmillError if there is none.
 
-        `attempts_limit` replaces that of the route.
+        `attempts_limit` replaces that of the route. To `facts` is added what upstreams
+        state of themselves meanwhile.
         """
         route = self.route_of(request)
         if self.stop_times is not None:
@@ -106,7 +112,7 @@
         run = RequestRun(
             request, route, self._services_of(route), self.planner, self._merge
         )
-        executor = RunExecutor(self, HandoverRun(run, self.relay_planner))
+        executor = RunExecutor(self, HandoverRun(run, self.relay_planner), facts)
         self.open_runs.add(executor)
         try:
             result = await executor.run()
@@ -126,6 +132,31 @@
         for executor in list(self.open_runs):
             executor.answer_now()
 
+    def learn(
+        self, facts: Iterable[UpstreamFact], sent_ms: float, now_ms: float
+    ) -> None:
+        """Learn what upstreams stated to a host that was asked at `sent_ms`.
+
+        A pause is not among the facts, as an upstream asks it of one host alone.
+        """
+        planner = self.planner
+        registered = self._catalog.registration_by_upstream
+        for fact in facts:
+            incarnation = Incarnation(fact["upstream"], fact["started_ms"])
+            if fact.get("is_leaving", False):
+                is_new = planner.notices.record_leaving(incarnation, now_ms)
+                self.counts["leaving_noticed_elsewhere"] += is_new
+            upstream = registered.get(incarnation.upstream)
+            if upstream is None or Incarnation.of(upstream) != incarnation:
+                continue
+            planner.guard.replied(upstream, sent_ms, now_ms)
+            if (limit_per_s := fact.get("limit_per_s")) is not None:
+                stated = AttemptOutcome(
+                    AttemptEnd.ANSWERED, limit_per_s=limit_per_s, sent_ms=sent_ms
+                )
+                is_new = planner.gate.record(upstream, stated, now_ms)
+                self.counts["limits_noticed_elsewhere"] += is_new
+
     def open_attempts(self) -> Iterable[OpenAttempt]:
         """Return the attempts in flight of requests that wait for their answers."""
         for executor in self.open_runs:
--- a/burdockmill/forwarding/run_executor.py
+++ b/burdockmill/forwarding/run_executor.py
@@ -18,6 +18,7 @@
 from burdockmill.forwarding.reach_monitor import OpenAttempt
 from burdockmill.forwarding.upstream_notices import Incarnation
 from burdockmill.relay.actions import SendRelay, WithdrawRelay
+from burdockmill.relay.upstream_facts import REPLIES, fact_of
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -28,6 +29,7 @@
     from burdockmill.forwarding.token_gate import WaitingAttempt
     from burdockmill.relay.actions import RelayOutcome
     from burdockmill.relay.handover_run import HandoverAction, HandoverRun
+    from burdockmill.relay.upstream_facts import UpstreamFact
 
     Result = UpstreamAnswer | MergedAnswer
 
@@ -37,16 +39,19 @@
 WITHDRAWN_LIMIT_MS = 250.0
 # The connections of an upstream that ends close within this time of each other.
 CLOSING_MS = 10.0
-REPLIES = frozenset(
-    {AttemptEnd.ANSWERED, AttemptEnd.UPSTREAM_ERROR, AttemptEnd.NOT_RUN}
-)
 
 
 class RunExecutor:
     """Execute one request run; withdrawn attempts may end after its answer."""
 
-    def __init__(self, forwarder: Forwarder, run: HandoverRun) -> None:
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        run: HandoverRun,
+        facts: list[UpstreamFact] | None = None,
+    ) -> None:
         self._forwarder = forwarder
+        self._facts = facts
         self._run = run
         self._direct = run.direct
         self._loop = asyncio.get_running_loop()
@@ -160,6 +165,9 @@
         observations = forwarder.planner.observations
         if forwarder.planner.notices.record(action.upstream, outcome, now_ms):
             forwarder.log.noticed(self._direct, action, outcome, now_ms)
+        if self._facts is not None:
+            fact = fact_of(action.upstream, outcome)
+            self._facts += [fact] if fact is not None else []
         if outcome.ignored:
             forwarder.counts["malformed_headers_ignored"] += 1
             forwarder.log.ignored(self._direct, action, outcome, now_ms)
@@ -214,6 +222,7 @@
             in_flight[action.host] -= 1
             del self._sending_by_relay[action.relay]
             ended_ms = forwarder.clock.now_ms()
+            forwarder.learn(outcome.facts, now_ms, ended_ms)
             self._execute(
                 self._run.relay_ended(action.relay, outcome, ended_ms), ended_ms
             )
--- a/burdockmill/relay/actions.py
+++ b/burdockmill/relay/actions.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from enum import StrEnum
 from typing import NamedTuple
 
 from burdockmill.errors import BurdockmillError
 from burdockmill.forwarding.messages import MergedAnswer, UpstreamAnswer
 from burdockmill.names import HostId
+from burdockmill.relay.upstream_facts import UpstreamFact
 
 
 class SendRelay(NamedTuple):
@@ -41,8 +43,12 @@
 
 
 class RelayOutcome(NamedTuple):
-    """Describe how a host ended a request; `result` is None without a reply."""
+    """Describe how a host ended a request; `result` is None without a reply.
+
+    `facts` are what its upstreams stated of themselves meanwhile.
+    """
 
     end: RelayEnd
     result: UpstreamAnswer | MergedAnswer | BurdockmillError | None = None
     detail: str = ""
+    facts: Sequence[UpstreamFact] = ()
--- a/burdockmill/surfaces/relay.py
+++ b/burdockmill/surfaces/relay.py
@@ -24,6 +24,7 @@
     encode,
     reply_of,
 )
+from burdockmill.relay.upstream_facts import FACTS_HEADER, encode_facts
 from burdockmill.surfaces.peer import check_peer_key
 
 if TYPE_CHECKING:
@@ -32,6 +33,7 @@
     from burdockmill.clock import Clock
     from burdockmill.forwarding.forwarder import Forwarder
     from burdockmill.relay.messages import RelayedRequest
+    from burdockmill.relay.upstream_facts import UpstreamFact
     from burdockmill.world import World
 
 
@@ -77,17 +79,24 @@
             return web.Response(body=encode(self._declined(relayed, reason), b""))
         self.counts["accepted"] += 1
         self.requests_in_flight += 1
+        facts: list[UpstreamFact] = []
         try:
-            reply, data = await self._run(forwarded, relayed)
+            reply, data = await self._run(forwarded, relayed, facts)
         finally:
             self.requests_in_flight -= 1
-        return web.Response(body=encode(reply, data))
+        headers = {FACTS_HEADER: encode_facts(facts)} if facts else {}
+        return web.Response(body=encode(reply, data), headers=headers)
 
     async def _run(
-        self, forwarded: ForwardedRequest, relayed: RelayedRequest
+        self,
+        forwarded: ForwardedRequest,
+        relayed: RelayedRequest,
+        facts: list[UpstreamFact],
     ) -> tuple[RelayReply, bytes]:
         try:
-            result = await self._forwarder.forward(forwarded, relayed.attempts_limit)
+            result = await self._forwarder.forward(
+                forwarded, relayed.attempts_limit, facts
+            )
         except BurdockmillError as error:
             if error.ran is Ran.NO and self._world.reach.is_isolated:
                 reason = "it has lost its upstreams"
--- a/tests/builders_crash_fleet.py
+++ b/tests/builders_crash_fleet.py
@@ -9,8 +9,9 @@
 from burdockmill.forwarding.merge_policy import GreatestRecords
 from burdockmill.forwarding.messages import AttemptEnd, AttemptOutcome
 from burdockmill.forwarding.request_run import RequestRun
-from burdockmill.forwarding.run_executor import CLOSING_MS, REPLIES
+from burdockmill.forwarding.run_executor import CLOSING_MS
 from burdockmill.forwarding.upstream_notices import Incarnation
+from burdockmill.relay.upstream_facts import REPLIES
 from tests.builders_forwarding import (
     REGIONS,
     answered,
