Let proxies stop writing to a connection that has ended

Logs of soaks and tests held thousands of lines "socket.send() raised exception.", asyncio's message for writes to a connection that was lost. So the other side was not told that its reader had gone. Both now end the link at once.

Whether other writers log this is not shown by them.

--- a/soak/link_proxy.py
+++ b/soak/link_proxy.py
@@ -33,6 +33,14 @@
     return sockets
 
 
+async def send(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Write data; raise OSError if the connection has ended."""
+    if writer.is_closing():
+        raise ConnectionResetError("The connection has ended.")
+    writer.write(data)
+    await writer.drain()
+
+
 class LinkProxy:
     """Forward all connections to one address, until a fault is put in.
 
@@ -162,10 +170,8 @@
     async def _write(self, writer: asyncio.StreamWriter, chunk: bytes) -> None:
         if self._how == "slow":
             await asyncio.sleep(SLOW_S)
-        while self._how == "trickle" and chunk and not writer.is_closing():
-            writer.write(chunk[:TRICKLE_BYTES])
+        while self._how == "trickle" and chunk:
+            await send(writer, chunk[:TRICKLE_BYTES])
             chunk = chunk[TRICKLE_BYTES:]
             await asyncio.sleep(TRICKLE_S)
-        if not writer.is_closing():
-            writer.write(chunk)
-            await writer.drain()
+        await send(writer, chunk)
--- a/tests/builders_proxies.py
+++ b/tests/builders_proxies.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 
-from soak.link_proxy import fill_queue
+from soak.link_proxy import fill_queue, send
 from tests.builders_addresses import free_address
 from tests.builders_platform_processes import HostProcess
 from tests.proxied_host import PROXIES
@@ -81,7 +81,7 @@
         try:
             while chunk := await reader.read(CHUNK_BYTES):
                 await self._flowing.wait()
-                writer.write(chunk)
+                await send(writer, chunk)
         except OSError:
             return
 
