Close the connections of a test's server before its loop ends

A test run warned of a transport closed after its loop had ended: the server of a test in tests/test_reported_faults.py left its connections to the garbage collector. Its checks are unchanged. The server of the cut answers closes them too if its client leaves early.

--- a/tests/builders_cut_answers.py
+++ b/tests/builders_cut_answers.py
@@ -122,11 +122,14 @@
         self._server.close()
 
     async def _serve(self, reader, writer):
-        for data in self._earlier:
+        try:
+            for data in self._earlier:
+                await self._read(reader)
+                writer.write(data)
             await self._read(reader)
-            writer.write(data)
-        await self._read(reader)
-        await break_off(writer, self._data[: self._cut], self._end)
+            await break_off(writer, self._data[: self._cut], self._end)
+        finally:
+            writer.close()
 
     async def _read(self, reader):
         head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
--- a/tests/test_reported_faults.py
+++ b/tests/test_reported_faults.py
@@ -96,10 +96,15 @@
     bodies = [json.dumps(one).encode() for one in copies]
 
     async def serve(reader, writer):
-        for body in bodies:
-            await reader.readuntil(b"\r\n\r\n")
-            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
-            writer.write(head.encode() + body)
+        try:
+            for body in bodies:
+                await reader.readuntil(b"\r\n\r\n")
+                head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+                writer.write(head.encode() + body)
+        except asyncio.IncompleteReadError:
+            pass
+        finally:
+            writer.close()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     source = StoreSource(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
