Stop a host in its time, whichever step of the stop fails or hangs

What was seen: by reading, then in tests: an error in one step of a stop skipped the rest: listeners stayed open and the last lines of the log were lost. A step that hung, or a handler that did not end, held the process until it was killed. A host whose listener could not open ended without closing anything and without a line in its log.

Cause: the steps were awaited in a row, without limits; a failed start raised at once.

Change: each step of the stop has a limit within the grace time, and its failure is logged; surfaces and tasks close at the same time, then the clients. Open requests are answered although the wait for them fails. After a failed start its error is logged and the host is stopped; the process still ends with it.

Measured: on the seven steps that fail, the listener that cannot open and the failed start failed the test; a hanging step ran into the trial's limit of 20 s. Now a stop with any of seven steps failing or hanging ends within its grace time of 1.5 s. Put in by hand and caught: errors end the stop, no limits (the test does not end), a listener kept that did not open, no stop after a failed start, open requests not answered.

--- a/burdockmill/fast_start_service.py
+++ b/burdockmill/fast_start_service.py
@@ -47,12 +47,14 @@
     starting = loop.create_task(host.start())
     stopping = loop.create_task(stop_requested.wait())
     await asyncio.wait((starting, stopping), return_when=asyncio.FIRST_COMPLETED)
-    if starting.done():
-        starting.result()
-        await stopping
-    else:
+    if not starting.done():
         starting.cancel()
         await asyncio.wait((starting,))
+    start_error = None if starting.cancelled() else starting.exception()
+    if start_error is not None:
+        logger.opt(exception=start_error).error("node: the host failed to start.")
+    elif not starting.cancelled():
+        await stopping
     try:
         async with asyncio.timeout(
             (limit_ms + CLOSE_LIMIT_MS) / MILLISECONDS_PER_SECOND
@@ -61,3 +63,5 @@
     except Exception:
         logger.exception("stop: the host failed to stop cleanly.")
         raise
+    if start_error is not None:
+        raise start_error
--- a/burdockmill/forwarding_node.py
+++ b/burdockmill/forwarding_node.py
@@ -12,7 +12,7 @@
 from loguru import logger
 
 from burdockmill._forwarding_reports import ForwardingReports
-from burdockmill._forwarding_stop import ForwardingStop
+from burdockmill._forwarding_stop import CLOSE_RESERVE_MS, ForwardingStop
 from burdockmill._line_writer import LineWriter
 from burdockmill.clients.catalog_reader import CatalogReader
 from burdockmill.clients.peer_client import PeerClient
@@ -37,6 +37,7 @@
 from burdockmill.messages.limits import TokensChanged
 from burdockmill.messages.reach import LinkTestWanted, ReachChanged
 from burdockmill.metrics import Metrics
+from burdockmill.stop_steps import run_step, run_together
 from burdockmill.supervisor import Supervisor
 from burdockmill.surfaces._bounded_server import ServerBounds
 from burdockmill.surfaces.host_gateway import HostGateway
@@ -72,6 +73,10 @@
 # told that this host is not ready.
 CATALOG_WAIT_LIMIT_MS = 1_000.0
 CATALOG_POLL_MS = 5.0
+# A step of closing has at least this time, however late in the grace time it begins.
+CLOSING_LIMIT_MS = 100.0
+# The wait for open requests ends by itself; only later than that it is ended.
+WAITING_SLACK_MS = 50.0
 
 
 class ForwardingNode(HostGateway):
@@ -222,16 +227,27 @@
     async def stop(self) -> None:
         """Finish the requests in progress within the grace time, then close."""
         self._stop.begun = True
+        end_ms = self.clock.now_ms() + self.settings.stop_grace_ms
         self.post(HostStopping(float(self.settings.balancer_lag_ms)))
-        await self._stop.run(self.listener_by_surface.get("ingress"))
-        await self.supervisor.close()
-        for listener in self.listener_by_surface.values():
-            await listener.close()
-        await self.data_path.close()
-        await self.peers.close()
-        await self.source.close()
-        self._pump.close()
-        self._flush()
+        ingress = self.listener_by_surface.get("ingress")
+        waiting_ms = self.settings.stop_grace_ms - CLOSE_RESERVE_MS + WAITING_SLACK_MS
+        await run_step("waiting", lambda: self._stop.run(ingress), waiting_ms)
+        answer_all = self.data_path.forwarder.answer_all
+        await run_step("answering", answer_all, CLOSING_LIMIT_MS)
+        surfaces = {
+            f"closing {surface}": listener.close
+            for surface, listener in self.listener_by_surface.items()
+        }
+        tasks = {"closing tasks": self.supervisor.close}
+        await run_together(surfaces | tasks, self._closing_limit_ms(end_ms))
+        clients = {
+            "closing attempts": self.data_path.close,
+            "closing peers": self.peers.close,
+            "closing the store": self.source.close,
+        }
+        await run_together(clients, self._closing_limit_ms(end_ms))
+        await run_step("closing the core", self._pump.close, CLOSING_LIMIT_MS)
+        await run_step("flushing", self._flush, CLOSING_LIMIT_MS)
         logger.info("stop: {} has stopped.", self.settings.host)
         if self.log_writer is not None:
             self.log_writer.close()
@@ -328,6 +344,10 @@
         while not self.ready and self.clock.now_ms() < end_ms:
             await asyncio.sleep(CATALOG_POLL_MS / MILLISECONDS_PER_SECOND)
 
+    def _closing_limit_ms(self, end_ms: float) -> float:
+        """Return the limit of each of the two steps of closing before a clock time."""
+        return max(CLOSING_LIMIT_MS, (end_ms - self.clock.now_ms()) / 2)
+
     def _schedule_flush(self) -> None:
         if self._flush_timer is None:
             self._flush_timer = asyncio.get_running_loop().call_later(
@@ -354,5 +374,5 @@
             header_limit=header_limit,
         )
         listener = Listener(app, bounds)
-        self.listener_by_surface[surface] = listener
         await listener.open(address, listening_socket)
+        self.listener_by_surface[surface] = listener
