--- a/burdockmill/clients/peer_client.py
+++ b/burdockmill/clients/peer_client.py
@@ -164,7 +164,7 @@
         except Exception as error:
             # The next batch must not wait for good behind this one.
             self.counts["failed"] += 1
-            logger.opt(exception=error).error("peers: a batch failed unexpectedly.")
+            logger.opt(exception=error).error("peer: a batch failed unexpectedly.")
             self._report_undelivered(queue.host, messages, Ran.UNKNOWN)
 
     def _finish(
@@ -198,7 +198,7 @@
         except Exception as error:
             self.counts["not_encodable"] += 1
             logger.error(
-                "peers: a {} cannot be encoded ({}: {:.200}).",
+                "peer: a {} cannot be encoded ({}: {:.200}).",
                 type(message).__name__,
                 type(error).__name__,
                 str(error),
