--- a/tests/builders_hostile.py
+++ b/tests/builders_hostile.py
@@ -126,7 +126,8 @@
 
 def deep_json_bytes():
     return st.builds(
-        lambda depth, closes: nested(depth, closes).encode(),
+        lambda field, depth, closes: f"{field}{nested(depth, closes)}".encode(),
+        st.sampled_from(("", '{"labels":', '{"items":[{"labels":', '{"events":')),
         st.integers(1, 6_000),
         st.booleans(),
     )
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -170,3 +170,24 @@
     store.items["servers/u-1"]["rev"] = "not a number"
     with pytest.raises(StoreError):
         await source.read_all(1_500.0)
+
+
+async def test_absurd_numbers_of_an_entry_are_bounded_or_name_no_upstream(
+    store, source
+):
+    changes_by_id = {
+        "u-many-slots": {"slots": 10**15},
+        "u-no-slots": {"slots": -(10**15)},
+        "u-cold": {"cold-left-ms": 1e308},
+        "u-slots-of-400-digits": {"slots": 10**400},
+        "u-born-of-400-digits": {"born": 10**400},
+    }
+    for upstream, changes in changes_by_id.items():
+        store.put(f"servers/{upstream}", entry_of("a", "127.0.0.1:9001", **changes))
+    delta = await source.read_all(1_500.0)
+    registered = [change.registration for change in delta.registered]
+    assert {one.upstream: (one.slots, one.cold_ms) for one in registered} == {
+        "u-many-slots": (1_000_000, 0.0),
+        "u-no-slots": (1, 0.0),
+        "u-cold": (2, 600_000.0),
+    }
