Keep no times of a service that is never repeated beyond the window

Seen in review: RepeatBudget discarded the times of a service's requests only when a repeat was considered, so those of a service that is never repeated were kept for ever, some 32 bytes each. They are discarded as requests are recorded.

--- a/burdockmill/policies/repeat_budget.py
+++ b/burdockmill/policies/repeat_budget.py
@@ -82,6 +82,8 @@
     def deposit(self, service: ServiceId, now_ms: float) -> None:
         """Record a request's first attempt, which raises the service's budget."""
         times = self._times_by_service.setdefault(service, _SendTimes())
+        # A service that is never repeated is never asked for what remains.
+        times.discard_until(now_ms - self.limits.window_ms)
         times.requests_ms.append(now_ms)
 
     def withdraw(self, service: ServiceId, kind: AttemptKind, now_ms: float) -> bool:
--- a/tests/test_forwarding_policies.py
+++ b/tests/test_forwarding_policies.py
@@ -174,6 +174,14 @@
     assert budget.withdraw("a", AttemptKind.RETRY, 20_000.0)
 
 
+def test_times_of_a_service_that_is_never_repeated_are_not_kept_for_ever():
+    budget = RepeatBudget(LIMITS, started_ms=0.0)
+    for number in range(20_000):
+        budget.deposit("a", 10.0 * number)
+    stored = budget._times_by_service["a"].requests_ms
+    assert len(stored) <= LIMITS.window_ms / 10.0
+
+
 def test_paid_refused_and_refunded_repeats_are_counted():
     budget = RepeatBudget(LIMITS._replace(allowance=2.0, ratio=0.0), started_ms=0.0)
     assert budget.withdraw("a", AttemptKind.RETRY, 20_000.0)
