Pass on no refusal of an upstream that may have run the request

Seen in review: an upstream's 503 or 429 without the header that it did not run the request was passed on unchanged to a client whose request may run once.

So such a request is now answered 502, without the stamp.

--- a/burdockmill/forwarding/answer_decision.py
+++ b/burdockmill/forwarding/answer_decision.py
@@ -6,7 +6,13 @@
 
 from burdockmill.errors import DeadlineExceededError, Ran
 from burdockmill.forwarding.actions import Conclude
-from burdockmill.forwarding.failures import Outlook, lost_answer, refusal, uncovered
+from burdockmill.forwarding.failures import (
+    Outlook,
+    lost_answer,
+    passed_on,
+    refusal,
+    uncovered,
+)
 from burdockmill.forwarding.messages import MergedAnswer
 from burdockmill.policies.answer_timing import AnswerTimes, least_shards
 from burdockmill.policies.return_time import pause_until_enough_ms
@@ -39,6 +45,7 @@
         self._planner = planner
         self._merge = merge
         self._shards = route.shards
+        self._is_idempotent = route.is_idempotent
         least_coverage = 1.0 if route.shards is None else route.shards.least_coverage
         self._least_parts = least_shards(len(parts), least_coverage)
 
@@ -69,12 +76,14 @@
         if part.answer is not None:
             return Conclude(part.answer, "answered")
         if part.lost:
-            return Conclude(*lost_answer(part, self._outlook(lost, now_ms)))
+            outlook = self._outlook(lost, now_ms)
+            return Conclude(*lost_answer(part, outlook, self._is_idempotent))
         if now_ms < self.times.final_ms:
             return None
         failure = part.failure()
         if failure is not None:
-            return Conclude(failure, "deadline after a failure")
+            result = passed_on(failure, self._is_idempotent)
+            return Conclude(result, "deadline after a failure")
         ran = Ran.UNKNOWN if part.possible_runs else Ran.NO
         error = DeadlineExceededError("No upstream answered in time.", ran=ran)
         return Conclude(error, "deadline")
--- a/burdockmill/forwarding/failures.py
+++ b/burdockmill/forwarding/failures.py
@@ -27,6 +27,10 @@
     from burdockmill.forwarding.part_run import PartRun
 
 
+# A client that gets one of these sends a request that may run once again.
+NOT_RUN_STATUSES = frozenset({408, 429, 503})
+
+
 class Outlook(NamedTuple):
     """Store what decides when a client may return; times in milliseconds.
 
@@ -86,13 +90,25 @@
     )
 
 
+def passed_on(
+    failure: UpstreamAnswer, is_idempotent: bool
+) -> UpstreamAnswer | BurdockmillError:
+    """Return an upstream's failure, or an error if its status would not be true."""
+    if is_idempotent or failure.status not in NOT_RUN_STATUSES:
+        return failure
+    return UpstreamFailedError(
+        f"An upstream answered {failure.status} and may have run the request.",
+        ran=Ran.UNKNOWN,
+    )
+
+
 def lost_answer(
-    part: PartRun, outlook: Outlook
+    part: PartRun, outlook: Outlook, is_idempotent: bool
 ) -> tuple[UpstreamAnswer | BurdockmillError, str]:
     """Return the answer to a request whose only part is lost, and the reason."""
     failure = part.failure()
     if failure is not None:
-        return failure, "an upstream failed"
+        return passed_on(failure, is_idempotent), "an upstream failed"
     if part.possible_runs:
         error = UpstreamFailedError(
             f"The upstream's answer was lost: {part.lost}.", ran=Ran.UNKNOWN
