Serve a request that comes back from another host as this host's links do

Seen in review, by reading: a request whose first attempt found no connection was handed over; if the other host declined it just as this host reached upstreams again, it was started in a run that counted as complete. Its attempt was sent, the answer was dropped, and the client got 504.

Cause: HandoverRun stops the direct run when it hands a request over, and started the same run again without saying so. Change: a run that was stopped is restarted: it counts as open, its lost parts and the attempts that were never sent are forgotten, and the request is counted for the repeat budgets once.

--- a/burdockmill/forwarding/messages.py
+++ b/burdockmill/forwarding/messages.py
@@ -40,6 +40,10 @@
     entry: HostId = ""
     is_counted: bool = False
 
+    def end_ms(self, timeout_ms: float) -> float:
+        """Return the clock time at which the client or the route waits no longer."""
+        return min(self.deadline_ms, self.received_ms + timeout_ms)
+
 
 class Registration(NamedTuple):
     """Describe an upstream as it registered itself.
--- a/burdockmill/forwarding/part_run.py
+++ b/burdockmill/forwarding/part_run.py
@@ -113,6 +113,15 @@
         """Return the upstreams that an attempt was sent to."""
         return {row.upstream.upstream for row in self.attempts}
 
+    def restart(self) -> None:
+        """Forget the attempts that were not sent, and why the part was lost."""
+        self.lost = ""
+        self.attempts = [
+            row
+            for row in self.attempts
+            if row.outcome is None or not row.outcome.end.never_written
+        ]
+
     def unanswered_at(
         self, incarnation: Incarnation, since_ms: float
     ) -> list[AttemptRow]:
--- a/burdockmill/forwarding/request_run.py
+++ b/burdockmill/forwarding/request_run.py
@@ -5,12 +5,7 @@
 from typing import TYPE_CHECKING
 
 from burdockmill.errors import DeadlineExceededError
-from burdockmill.forwarding.actions import (
-    Conclude,
-    RunAction,
-    SendAttempt,
-    WithdrawAttempt,
-)
+from burdockmill.forwarding.actions import Conclude, SendAttempt, WithdrawAttempt
 from burdockmill.forwarding.answer_decision import AnswerDecision
 from burdockmill.forwarding.failures import held_back
 from burdockmill.forwarding.hedge_queue import HedgeQueue
@@ -20,6 +15,7 @@
 from burdockmill.policies.answer_timing import answer_times
 
 if TYPE_CHECKING:
+    from burdockmill.forwarding.actions import RunAction
     from burdockmill.forwarding.merge_policy import MergePolicy
     from burdockmill.forwarding.messages import (
         AttemptOutcome,
@@ -126,6 +122,16 @@
         self._complete_if_due(now_ms, actions)
         return actions
 
+    def restart(self, now_ms: float) -> list[RunAction]:
+        """Start once more, after a run that was stopped and of which nothing ran."""
+        self.completed = False
+        self.request = self.request._replace(is_counted=True)
+        self.suspicion.waiting.clear()
+        self._lost.clear()
+        for part in self.parts:
+            part.restart()
+        return self.start(now_ms)
+
     def ended(
         self, attempt: int, outcome: AttemptOutcome, now_ms: float
     ) -> list[RunAction]:
@@ -199,13 +205,9 @@
         return True
 
     def _choose(self, part: PartRun, kind: AttemptKind, now_ms: float) -> Choice | None:
+        may_repeat, avoided = self.route.is_idempotent, self.suspicion.avoided_domains
         return self._planner.choose(
-            part.service,
-            part.tried,
-            self.route.is_idempotent,
-            now_ms,
-            kind,
-            self.suspicion.avoided_domains,
+            part.service, part.tried, may_repeat, now_ms, kind, avoided
         )
 
     def _add(
@@ -221,13 +223,10 @@
         row = AttemptRow(number, upstream, kind, now_ms, is_paid)
         part.attempts.append(row)
         self._row_by_attempt[number] = (part, row)
-        deadline_ms = min(
-            self.request.deadline_ms, self.request.received_ms + self.route.timeout_ms
-        )
+        end_ms = self.request.end_ms(self.route.timeout_ms)
         is_canary = self.suspicion.is_cautious
-        actions.append(
-            SendAttempt(number, part.index, upstream, kind, deadline_ms, is_canary)
-        )
+        sent = SendAttempt(number, part.index, upstream, kind, end_ms, is_canary)
+        actions.append(sent)
         self.suspicion.sent(number, part.service)
 
     def _probe(
@@ -243,8 +242,7 @@
         if replica is None:
             return
         if self._planner.withdraw_repeat(part.service, AttemptKind.PROBE, now_ms):
-            kind = AttemptKind.PROBE
-            self._add(part, replica, kind, now_ms, actions, is_paid=True)
+            self._add(part, replica, AttemptKind.PROBE, now_ms, actions, is_paid=True)
 
     def _hedge(self, part: PartRun, now_ms: float, actions: list[RunAction]) -> None:
         part.hedge_ms = None
--- a/burdockmill/relay/handover_run.py
+++ b/burdockmill/relay/handover_run.py
@@ -152,8 +152,9 @@
         )
 
     def _start_direct(self, now_ms: float) -> list[HandoverAction]:
-        self._has_started_direct = True
-        return self._follow(self.direct.start(now_ms), now_ms)
+        is_again, self._has_started_direct = self._has_started_direct, True
+        start = self.direct.restart if is_again else self.direct.start
+        return self._follow(start(now_ms), now_ms)
 
     def _follow(
         self, actions: Iterable[RunAction], now_ms: float
--- a/tests/test_handover_run.py
+++ b/tests/test_handover_run.py
@@ -25,6 +25,7 @@
     make_request,
     make_route,
     make_single_route,
+    record,
     replicas_of,
     services_of,
 )
@@ -159,6 +160,42 @@
     assert run.result.ran is Ran.UNKNOWN
 
 
+@pytest.mark.parametrize("is_idempotent", [True, False])
+@pytest.mark.parametrize("replicas", [1, 3])
+def test_an_answer_is_not_lost_when_a_request_comes_back_as_the_links_do(
+    is_idempotent, replicas
+):
+    run = Handover(make_single_route(is_idempotent=is_idempotent), is_isolated=False)
+    run.run.direct._planner._replicas_of = lambda name: replicas_of(name)[:replicas]
+    run.start()
+    deposited = run.budget.remaining("payroll", 0.0)
+    run.isolate(1.0)
+    run.report(2.0)
+    run.ended(0, NOT_SENT, 3.0)
+    assert len(run.of(SendRelay)) == 1
+    run.reach.isolated_since_ms = None
+    run.relay_ended(0, RelayEnd.DECLINED, 5.0)
+    assert [one.attempt for one in run.of(SendAttempt)] == [0, 1]
+    assert run.budget.remaining("payroll", 0.0) == deposited
+    run.ended(1, answered(b"body"), 30.0)
+    assert run.result.body == b"body"
+
+
+def test_a_search_that_comes_back_as_the_links_do_is_answered_in_full():
+    run = Handover(make_route(shards=2), is_isolated=False).start()
+    run.isolate(1.0)
+    run.report(2.0)
+    run.reconsider(3.0)
+    for attempt in range(2):
+        run.ended(attempt, NOT_SENT, 4.0)
+    assert len(run.of(SendRelay)) == 1
+    run.reach.isolated_since_ms = None
+    run.relay_ended(0, RelayEnd.DECLINED, 5.0)
+    for sent in run.of(SendAttempt)[2:]:
+        run.ended(sent.attempt, answered(record(sent.part), f"s{sent.part}"), 30.0)
+    assert (run.result.missing, len(run.result.stamps)) == (0, 2)
+
+
 def test_a_refusal_elsewhere_is_as_certain_as_there():
     run = Handover()
     run.report(0.0)
