--- a/burdockmill/forwarding/silence_monitor.py
+++ b/burdockmill/forwarding/silence_monitor.py
@@ -10,7 +10,7 @@
 
 import math
 from collections import Counter, deque
-from itertools import chain
+from itertools import chain, takewhile
 from typing import TYPE_CHECKING, NamedTuple
 
 from burdockmill.forwarding.messages import LinkState
@@ -90,8 +90,9 @@
             self._kept.popleft()
         over = [
             OpenAttempt(one.row.upstream, one.row.sent_ms)
-            for one in self._kept
-            if now_ms - one.ended_ms < TESTED_MS
+            for one in takewhile(
+                lambda one: now_ms - one.ended_ms < TESTED_MS, reversed(self._kept)
+            )
         ]
         for attempt in chain(attempts, over):
             if self._needs_test(attempt, now_ms):
@@ -127,12 +128,14 @@
         self._on_silent(incarnation, since_ms, now_ms)
 
     def _needs_test(self, attempt: OpenAttempt, now_ms: float) -> bool:
+        if not attempt.is_written or now_ms - attempt.since_ms < SILENT_MS:
+            return False
         name = attempt.upstream.upstream
         heard_ms = max(attempt.since_ms, self._monitor.reach.heard_of_ms(name))
         unheard_ms = now_ms - heard_ms
         # For an attempt that takes long, the time between tests doubles.
         limit_ms = max(SILENT_MS, (now_ms - attempt.since_ms) / 2.0)
-        if not attempt.is_written or unheard_ms < limit_ms:
+        if unheard_ms < limit_ms:
             return False
         incarnation = Incarnation.of(attempt.upstream)
         tested_ms = self._tested_ms_by_incarnation.get(incarnation, -math.inf)
