--- a/burdockmill/clients/_reuse_checking_handler.py
+++ b/burdockmill/clients/_reuse_checking_handler.py
@@ -50,6 +50,10 @@
             self._fail(ClientPayloadError("The response has too many bytes."))
             return
         super().data_received(data)
+        payload = self._payload
+        if self.exception() is not None and payload and not payload.is_eof():
+            # The parser's error reaches the reader of the next head, not of this body.
+            self._fail(ClientPayloadError("The response's body is malformed."))
 
     def _fail(self, error: ClientPayloadError) -> None:
         self.set_exception(error)
--- a/burdockmill/clients/_upstream_codec.py
+++ b/burdockmill/clients/_upstream_codec.py
@@ -22,6 +22,8 @@
 from burdockmill.slots import SLOT_COUNT, SlotRange, slot_of, subtract
 
 OK = 200
+# A refusal that names a longer time is taken to mean this one.
+RETRY_AFTER_LIMIT_MS = 600_000
 REFUSAL_STATUSES = frozenset({409, 410, 503})
 PATH_BY_KIND = {
     RequestKind.SEARCH: "/v1/search",
@@ -118,12 +120,19 @@
         attempt=action.attempt,
         upstream=action.upstream,
         reason=_refusal_reason(refusal["kind"]),
-        retry_after_ms=refusal.get("retry_after_ms"),
+        retry_after_ms=_retry_after_ms(refusal),
         snapshots=tuple(refusal["snapshots"]),
         draining=refusal.get("draining", False),
     )
 
 
+def _retry_after_ms(refusal: UpstreamRefusal) -> int | None:
+    stated_ms = refusal.get("retry_after_ms")
+    if stated_ms is None:
+        return None
+    return min(max(0, stated_ms), RETRY_AFTER_LIMIT_MS)
+
+
 def _refusal_reason(kind: str) -> Reason:
     try:
         reason = Reason(kind)
--- a/burdockmill/clients/_upstream_health.py
+++ b/burdockmill/clients/_upstream_health.py
@@ -43,6 +43,7 @@
         WrongAnswerError,
         msgspec.MsgspecError,
         UnicodeError,
+        RecursionError,
     ):
         counts["health_failed"] += 1
         return no_response
--- a/burdockmill/clients/peer_client.py
+++ b/burdockmill/clients/peer_client.py
@@ -112,6 +112,8 @@
             OSError,
             WrongAnswerError,
             msgspec.MsgspecError,
+            UnicodeError,
+            RecursionError,
         ):
             self.counts["explain_failed"] += 1
             return None
