Ask again in the test of cut answers while the other host takes nothing over

In a whole run of the tests beside other work, two cases by way of another host failed, as that host refused with 503 too often to count as tried: it had taken its links for cut. All checks of each answer passed. The test now asks again after a 503, for 5 s at most, and requires the same share of both ways; before, it asked for half of it by way of another host.

Measured: the 6 cases pass, in 51 s beside other work.

--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -326,18 +326,23 @@
         await site.ready()
         client, other = site.client(), site.client(site.nodes[-1])
         statuses = Counter()
-        for cut, end in every_cut(example.data):
-            # A host that gets no whole answer at all takes its own links for cut.
-            assert (await other.ask(WHOLE)).status == 200
-            for route in ROUTES:
-                if is_handed_over:
-                    isolate(site.nodes[0])
-                answer = await client.ask(f"{route}/{framing.value}/{cut}/{end.value}")
-                statuses[route, answer.status] += 1
-                request_id = f"id-{id(client)}-{client.number}"
-                check_answer(route, answer, site.arrivals[request_id])
-        # The hosts of a short test may take each other for cut off at times.
-        asked = len(example.data) * (1 if is_handed_over else 2)
+        for (cut, end), route in itertools.product(every_cut(example.data), ROUTES):
+            async with asyncio.timeout(5.0):
+                while True:
+                    # A host that gets no whole answer at all takes its links for cut,
+                    # and takes no request over; then the client asks again.
+                    assert (await other.ask(WHOLE)).status == 200
+                    if is_handed_over:
+                        isolate(site.nodes[0])
+                    target = f"{route}/{framing.value}/{cut}/{end.value}"
+                    answer = await client.ask(target)
+                    request_id = f"id-{id(client)}-{client.number}"
+                    check_answer(route, answer, site.arrivals[request_id])
+                    if answer.status != 503:
+                        break
+                    await asyncio.sleep(0.02)
+            statuses[route, answer.status] += 1
+        asked = 2 * len(example.data)
         assert statuses["/fetch", 200] >= 0.9 * asked, statuses
         assert statuses["/overlap", 200] >= 0.9 * asked, statuses
         assert statuses["/once", 502] >= 0.9 * asked, statuses
