--- a/soak/child_process.py
+++ b/soak/child_process.py
@@ -34,7 +34,6 @@
         """
         if code is not None:
             environment["PYTHONPATH"] = str(code)
-        self.is_end_expected = False
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
@@ -46,6 +45,8 @@
             stdout=asyncio.subprocess.PIPE,
             limit=LINE_LIMIT_BYTES,
         )
+        # Until then the process is the former one, whose end was expected.
+        self.is_end_expected = False
         self._reading = asyncio.create_task(self._read(self._process))
 
     @property
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """Check that the soak draws its plan from its seed, and finds each kind of fault."""
 
+import asyncio
 import json
 import random
 from contextlib import suppress
@@ -10,6 +11,7 @@
 from burdockmill.messages.batch import messages_in
 from burdockmill.surfaces._batch_decoder import decode_batch
 from soak.checks import find_violations
+from soak.child_process import ChildProcess
 from soak.garbling import GARBLED_ANSWERS, GARBLED_BATCHES, HEAD_END, garble
 from soak.hostile_entries import draw_entry
 from soak.hostile_plan import HOSTILE_ENTRIES, draw_hostile
@@ -287,3 +289,16 @@
     assert all(answer.startswith(one) and HEAD_END not in one for one in cut)
     assert whole
     assert all(one.endswith(HEAD_END + b"body") for one in whole)
+
+
+async def test_a_process_that_is_started_again_has_not_ended_by_itself():
+    process = ChildProcess(lambda line: None)
+    await process.start("this")
+    await process.kill()
+    starting = asyncio.ensure_future(process.start("this"))
+    ended = []
+    while not starting.done():
+        ended.append(process.has_ended_by_itself)
+        await asyncio.sleep(0)
+    await process.kill()
+    assert not any(ended)
