Soak: handle signals in its hosts as early as the platform's program does

Cause: the soak starts hosts by a module of its own, which loaded the whole program before anything handled a signal.

Change: `soak/host.py` calls what the program calls first, then loads the rest (`soak/proxied_host.py`); hosts of earlier builds, which have no such thing, say so.

--- a/soak/previous_build.py
+++ b/soak/previous_build.py
@@ -10,8 +10,8 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parents[1]
-# The module that starts hosts speaks to nobody, so each build is started by the same.
-STARTING_MODULES = ("soak/__init__.py", "soak/host.py")
+# The modules that start hosts speak to nobody, so each build is started by the same.
+STARTING_MODULES = ("soak/__init__.py", "soak/host.py", "soak/proxied_host.py")
 
 
 class PreviousBuild:
--- a/soak/soak_host.py
+++ b/soak/soak_host.py
@@ -10,8 +10,8 @@
 from typing import Any
 
 from soak.child_process import ChildProcess
-from soak.host import PROXIES
 from soak.link_proxy import LinkProxy
+from soak.proxied_host import PROXIES
 from soak.soak_client import now_ms
 from tests.builders_addresses import free_address, loopback_ip_of
 from tests.builders_platform import settings_of
