--- a/burdockmill/forwarding_node.py
+++ b/burdockmill/forwarding_node.py
@@ -11,6 +11,7 @@
 
 from loguru import logger
 
+from burdockmill._forwarding_actions import ForwardingActions
 from burdockmill._forwarding_reports import ForwardingReports
 from burdockmill._forwarding_stop import CLOSE_RESERVE_MS, ForwardingStop
 from burdockmill._line_writer import LineWriter
@@ -19,23 +20,17 @@
 from burdockmill.clock import BootClock
 from burdockmill.decision_log import DecisionLog
 from burdockmill.engine_pump import EnginePump
-from burdockmill.errors import Ran, StoppingError
+from burdockmill.errors import StoppingError
 from burdockmill.fleet_core import make_fleet_engine
 from burdockmill.forwarding.data_path import DataPath
 from burdockmill.forwarding.routes import IngressLimits
-from burdockmill.forwarding.upstream_notices import Incarnation
-from burdockmill.messages.actions import Announce, LogDecision, SendToPeer
 from burdockmill.messages.batch import messages_in
 from burdockmill.messages.events import (
-    CatalogChanged,
     HostStarted,
     HostStopping,
     PeerReceived,
-    PeerUnreachable,
     SeedsRead,
 )
-from burdockmill.messages.limits import TokensChanged
-from burdockmill.messages.reach import LinkTestWanted, ReachChanged
 from burdockmill.metrics import Metrics
 from burdockmill.stop_steps import run_step, run_together
 from burdockmill.supervisor import Supervisor
@@ -60,15 +55,12 @@
     from burdockmill.explanation import Explanation
     from burdockmill.forwarding.codecs import IngressCodec, UpstreamCodec
     from burdockmill.forwarding.settings import ForwardingSettings
-    from burdockmill.messages.actions import Action
     from burdockmill.messages.events import Event
     from burdockmill.messages.peer import PeerBatch
     from burdockmill.names import Address, HostId, RequestId
     from burdockmill.settings_watcher import SettingsWatcher
 
 MILLISECONDS_PER_SECOND = 1_000
-# Interval at which the buffered decisions are written to the log.
-FLUSH_INTERVAL_MS = 100.0
 # Without a catalog after this time the ingress opens nevertheless, and clients are
 # told that this host is not ready.
 CATALOG_WAIT_LIMIT_MS = 1_000.0
@@ -110,7 +102,8 @@
         self.engine = make_fleet_engine(
             settings.host, settings.domain, rng, ring, settings.change_limit_ms
         )
-        self._pump = EnginePump(self.engine, self.clock, self._run_actions, self.counts)
+        self.actions = ForwardingActions(self)
+        self._pump = EnginePump(self.engine, self.clock, self.actions.run, self.counts)
         self.peers = PeerClient(settings.host, settings.peer_key, self.post)
         self.data_path = DataPath(
             settings,
@@ -119,7 +112,7 @@
             upstream_codec,
             self.decisions,
             self.metrics,
-            self._schedule_flush,
+            self.actions.schedule_flush,
             self.post,
         )
         self.ingress = Ingress(
@@ -135,7 +128,7 @@
             self.clock,
             settings.peer_key,
             lambda: self.stopping,
-            self._log_decision,
+            self.actions.log_decision,
         )
         self.reader = CatalogReader(
             source,
@@ -156,7 +149,6 @@
         self._reports = ForwardingReports(self)
         self.listener_by_surface: dict[str, Listener] = {}
         self.supervisor = Supervisor(self.clock)
-        self._flush_timer: asyncio.TimerHandle | None = None
         self._settings_watch: SettingsWatcher | None = None
 
     @property
@@ -247,7 +239,7 @@
         }
         await run_together(clients, self._closing_limit_ms(end_ms))
         await run_step("closing the core", self._pump.close, CLOSING_LIMIT_MS)
-        await run_step("flushing", self._flush, CLOSING_LIMIT_MS)
+        await run_step("flushing", self.actions.flush, CLOSING_LIMIT_MS)
         logger.info("stop: {} has stopped.", self.settings.host)
         if self.log_writer is not None:
             self.log_writer.close()
@@ -303,42 +295,6 @@
         """Count a refusal at a surface by the kind of its error."""
         self.metrics.count_refusal(surface, kind)
 
-    def _run_actions(self, actions: list[Action], now_ms: float) -> None:
-        for action in actions:
-            try:
-                self._run_action(action, now_ms)
-            except Exception:
-                # The other actions of the tick are carried out all the same.
-                self.counts["actions_failed"] += 1
-                logger.exception("core: an action failed.")
-        self.data_path.follow_hosts(now_ms)
-
-    def _run_action(self, action: Action, now_ms: float) -> None:
-        match action:
-            case LogDecision():
-                self._log_decision(action, now_ms)
-            case SendToPeer():
-                self._send_to_peer(action)
-            case Announce(event=CatalogChanged() as change):
-                self.data_path.follow_catalog(change, now_ms)
-            case Announce(event=LinkTestWanted(services=services)):
-                self.data_path.test_links(services)
-            case Announce(event=ReachChanged()):
-                self.data_path.forwarder.reconsider()
-            case Announce(event=TokensChanged() as tokens):
-                self.data_path.gate.on_change(Incarnation(*tokens), now_ms)
-
-    def _log_decision(self, decision: LogDecision, now_ms: float) -> None:
-        self.decisions.add(decision, now_ms)
-        self._schedule_flush()
-
-    def _send_to_peer(self, action: SendToPeer) -> None:
-        member = self.engine.world.member_by_host.get(action.host)
-        if member is None:
-            self.post(PeerUnreachable(action.host, action.message, Ran.NO))
-            return
-        self.peers.send(action.host, member.peer_address, action.message)
-
     async def _wait_for_catalog(self) -> None:
         end_ms = self.clock.now_ms() + CATALOG_WAIT_LIMIT_MS
         while not self.ready and self.clock.now_ms() < end_ms:
@@ -348,18 +304,6 @@
         """Return the limit of each of the two steps of closing before a clock time."""
         return max(CLOSING_LIMIT_MS, (end_ms - self.clock.now_ms()) / 2)
 
-    def _schedule_flush(self) -> None:
-        if self._flush_timer is None:
-            self._flush_timer = asyncio.get_running_loop().call_later(
-                FLUSH_INTERVAL_MS / MILLISECONDS_PER_SECOND, self._flush
-            )
-
-    def _flush(self) -> None:
-        if self._flush_timer is not None:
-            self._flush_timer.cancel()
-            self._flush_timer = None
-        self.decisions.flush()
-
     async def _open_listener(
         self,
         surface: str,
--- a/tests/test_stop_steps.py
+++ b/tests/test_stop_steps.py
@@ -64,7 +64,7 @@
 
     def decide_and_close():
         decision = LogDecision("answer", "r-1", "a last decision", "")
-        node._log_decision(decision, node.clock.now_ms())
+        node.actions.log_decision(decision, node.clock.now_ms())
         close()
 
     node._pump.close = decide_and_close
