Rank an upstream with any number of slots

An entry with 10^400 slots gave a request 500: ranking made a float of the number. The quotient of two integers has no such limit.

The new test failed before with OverflowError.

--- a/burdockmill/policies/replica_choice.py
+++ b/burdockmill/policies/replica_choice.py
@@ -185,7 +185,7 @@
         expected_ms = base_ms + self._connecting_ms(replica, base_ms)
         in_flight = len(observation.open_since_ms_by_attempt)
         if in_flight:
-            expected_ms += base_ms * in_flight / (2.0 * max(1, replica.slots))
+            expected_ms += base_ms / 2.0 * (in_flight / max(1, replica.slots))
             oldest_wait_ms = observation.oldest_ms(now_ms)
             if oldest_wait_ms > STALL_FACTOR * base_ms + STALL_FLOOR_MS:
                 expected_ms += oldest_wait_ms
--- a/tests/test_forwarding_policies.py
+++ b/tests/test_forwarding_policies.py
@@ -30,6 +30,7 @@
     LoadReplay,
     Upstream,
     make_planner,
+    make_registration,
     make_route,
     make_single_route,
     replicas_of,
@@ -112,6 +113,15 @@
     assert replay.in_time() >= 0.98
 
 
+def test_an_upstream_with_absurdly_many_slots_is_ranked_like_the_others():
+    # A host of an earlier build may pass such a registration on.
+    absurd = make_registration("u-absurd", slots=10**400)
+    planner = make_planner(lambda _: [absurd, make_registration("u-1")])
+    planner.observations.of("u-absurd").started(1, 0.0)
+    ranked = planner.rank_for_search("shard-0", 1.0)
+    assert {one.registration.upstream for one in ranked} == {"u-absurd", "u-1"}
+
+
 def test_a_service_that_fails_as_a_whole_gets_repeats_within_the_limit():
     route = make_single_route()
     upstreams = upstreams_of(route)
