--- a/burdockmill/clients/catalog_reader.py
+++ b/burdockmill/clients/catalog_reader.py
@@ -143,6 +143,9 @@
             else:
                 delta = await self._source.watch(after, self._watch_ms)
         except HistoryLostError as error:
+            if is_whole_read:
+                # Another whole read at once would fail the same way.
+                raise
             return self._plan_whole_read(after, error)
         except UnreadableAnswerError:
             reading.unreadable(is_whole_read=is_whole_read)
--- /dev/null
+++ b/tests/test_review_following.py
@@ -0,0 +1,67 @@
+"""Check that odd answers of the store neither flood it nor end the following."""
+
+import asyncio
+
+from aiohttp import web
+from loguru import logger
+
+from tests.builders_forwarding_node import Site, until
+from tests.builders_platform import StandinStore
+
+LIMIT_MS = 3_000
+OBSERVED_S = 1.0
+CALLS_LIMIT = 20
+
+
+class OddStore(StandinStore):
+    """Replace the answers to range reads or watches while they are set."""
+
+    range_answer = None
+    watch_answer = None
+
+    def _range(self, query):
+        if self.range_answer is not None:
+            return self.range_answer(query)
+        return super()._range(query)
+
+    async def _watch(self, query):
+        if self.watch_answer is not None:
+            return self.watch_answer(query)
+        return await super()._watch(query)
+
+
+def gone(_query):
+    return web.Response(status=410)
+
+
+def odd_site(**options):
+    site = Site(change_limit_ms=LIMIT_MS, **options)
+    site.store = OddStore()
+    return site
+
+
+async def follow(site, version):
+    site.publish(version=version)
+    await until(
+        lambda: all(
+            node.engine.world.catalog.version == version for node in site.nodes
+        ),
+        f"all hosts at version {version}",
+        LIMIT_MS / 1_000,
+    )
+
+
+async def test_a_store_without_history_in_range_reads_is_not_called_in_a_loop():
+    lines = []
+    async with odd_site() as site:
+        await site.ready()
+        sink = logger.add(lines.append, level="INFO")
+        site.store.range_answer = site.store.watch_answer = gone
+        calls = site.store.calls
+        await asyncio.sleep(OBSERVED_S)
+        calls = site.store.calls - calls
+        logger.remove(sink)
+        assert calls <= CALLS_LIMIT
+        assert len([one for one in lines if "store:" in one]) <= CALLS_LIMIT
+        site.store.range_answer = site.store.watch_answer = None
+        await follow(site, 9)
