--- a/burdockmill/platform/store_source.py
+++ b/burdockmill/platform/store_source.py
@@ -100,8 +100,11 @@
                             f"the key {item.key!r} is of another page"
                         )
                 items.extend(page.items)
-                if not page.has_more or not page.items:
+                if not page.has_more:
                     break
+                if not page.items:
+                    # Taken for the last page, it would remove all that follows.
+                    self._raise_unreadable("an empty page that is not the last")
                 after = page.items[-1].key
         assert first is not None
         delta = self._items.build_delta(0, first, items)
--- a/tests/test_review_following.py
+++ b/tests/test_review_following.py
@@ -65,3 +65,29 @@
         assert len([one for one in lines if "store:" in one]) <= CALLS_LIMIT
         site.store.range_answer = site.store.watch_answer = None
         await follow(site, 9)
+
+
+async def test_a_page_that_is_empty_but_not_the_last_removes_no_upstream():
+    def empty_with_more(query):
+        items = (
+            [] if query["prefix"] != "op/config" else [site.store.items["op/config"]]
+        )
+        return web.json_response(
+            {
+                "items": items,
+                "has-more": not items,
+                "store-revision": site.store.revision,
+            }
+        )
+
+    async with odd_site(hosts=2) as site:
+        await site.ready()
+        site.store.range_answer = empty_with_more
+        site.store.compact()
+        site.store.put("other/key", {})
+        site.store.compact()
+        await asyncio.sleep(OBSERVED_S)
+        for node in site.nodes:
+            assert node.engine.world.catalog.ready_count() == 3
+        site.store.range_answer = None
+        await follow(site, 9)
