--- a/burdockmill/clients/catalog_reader.py
+++ b/burdockmill/clients/catalog_reader.py
@@ -37,8 +37,9 @@
 # A host reads for itself once no host has confirmed the catalog for this fraction of
 # `change_limit_ms`.
 UNCONFIRMED_FRACTION = 0.55
-# After an update, the next watch is delayed by `change_limit_ms` divided by this.
-# Changes within the delay share a watch, since the store counts each call.
+# After an update, or a watch that returned within this delay, the next watch is
+# delayed by `change_limit_ms` divided by this. Changes within the delay share a watch,
+# since the store counts each call.
 BATCHES_PER_LIMIT = 12
 # A host that is not its domain's reader delays a read of the whole catalog by up to
 # `change_limit_ms` divided by this; the reader relays its copy meanwhile.
@@ -166,7 +167,9 @@
         else:
             reading.unchanged(base, delta.position)
         self._emit(CatalogConfirmed(requested_ms if delta.is_whole else now_ms))
-        return self._batching_delay_ms if has_updates else 0.0
+        # A watch may also return at once because of keys that are not of the catalog.
+        is_early = now_ms - requested_ms < self._batching_delay_ms
+        return self._batching_delay_ms if has_updates or is_early else 0.0
 
     async def _read_all(self) -> CatalogDelta:
         delta = await self._source.read_all(self._timeouts.read_timeout_ms)
--- a/tests/test_review_following.py
+++ b/tests/test_review_following.py
@@ -91,3 +91,28 @@
             assert node.engine.world.catalog.ready_count() == 3
         site.store.range_answer = None
         await follow(site, 9)
+
+
+async def test_watches_that_return_at_once_without_changes_are_spaced():
+    def at_once(_query):
+        return web.json_response({"events": [], "store-revision": site.store.revision})
+
+    async with odd_site() as site:
+        await site.ready()
+        site.store.watch_answer = at_once
+        calls = site.store.calls
+        await asyncio.sleep(OBSERVED_S)
+        assert site.store.calls - calls <= CALLS_LIMIT
+        site.store.watch_answer = None
+        await follow(site, 9)
+
+
+async def test_frequent_changes_of_other_keys_do_not_each_cost_a_call():
+    async with odd_site() as site:
+        await site.ready()
+        calls = site.store.calls
+        for number in range(100):
+            site.store.put("other/key", {"number": number})
+            await asyncio.sleep(OBSERVED_S / 100)
+        assert site.store.calls - calls <= CALLS_LIMIT
+        await follow(site, 9)
