Follow a store again that once stated a revision far too high

An answer from before the position asked for is now an error; the whole read that follows sets the position to that of the store.

--- a/burdockmill/clients/catalog_reader.py
+++ b/burdockmill/clients/catalog_reader.py
@@ -151,6 +151,12 @@
         except UnreadableAnswerError:
             reading.unreadable(is_whole_read=is_whole_read)
             raise
+        if delta.position < after and not is_whole_read:
+            reading.history_lost(after)
+            raise StoreError(
+                f"the store is at revision {delta.revision}, "
+                f"before revision {after.revision}"
+            )
         self.health.succeeded()
         now_ms = self._clock.now_ms()
         # A read of the whole catalog is emitted even if it is empty: later changes then
@@ -164,6 +170,8 @@
                 delta = delta._replace(base=base.revision)
             self._emit(CatalogRead(self._with_grace(delta)))
             reading.emitted(delta.position, now_ms)
+            if delta.position < after:
+                reading.store_is_behind(after, delta.position)
         else:
             reading.unchanged(base, delta.position)
         self._emit(CatalogConfirmed(requested_ms if delta.is_whole else now_ms))
--- a/burdockmill/policies/store_reading.py
+++ b/burdockmill/policies/store_reading.py
@@ -27,6 +27,8 @@
         self._unchanged_since = StorePosition()
         self._emitted = StorePosition()
         self._emitted_ms = 0.0
+        # A position that the store itself has turned out not to have reached.
+        self._beyond: StorePosition | None = None
         # The store could not tell the changes after this position.
         self._lost: StorePosition | None = None
         self._unreadable_watches = 0
@@ -40,6 +42,8 @@
             self._not_applied_limit = NOT_APPLIED_STEPS_LIMIT
         else:
             self._steps_not_applied += 1
+        if applied == self._beyond:
+            return self._watched
         return max(applied, self._watched)
 
     def needs_whole_read(self, after: StorePosition) -> bool:
@@ -89,6 +93,14 @@
                 NOT_APPLIED_STEPS_MAX, 2 * self._not_applied_limit
             )
 
+    def store_is_behind(self, after: StorePosition, position: StorePosition) -> None:
+        """Record that all was read, at a position before the one to watch from.
+
+        A revision once stated too high would otherwise hide all later changes.
+        """
+        self._beyond = after
+        self._watched = position
+
     def history_lost(self, after: StorePosition) -> None:
         """Record that the store cannot tell the changes after a position."""
         self._lost = after
--- a/tests/test_review_following.py
+++ b/tests/test_review_following.py
@@ -116,3 +116,21 @@
             await asyncio.sleep(OBSERVED_S / 100)
         assert site.store.calls - calls <= CALLS_LIMIT
         await follow(site, 9)
+
+
+async def test_hosts_follow_a_store_that_once_gave_a_revision_far_too_high():
+    def far_ahead(_query):
+        site.store.watch_answer = None
+        return web.json_response({"events": [], "store-revision": 2**62})
+
+    async with odd_site(hosts=2) as site:
+        await site.ready()
+        site.store.watch_answer = far_ahead
+        await until(lambda: site.store.watch_answer is None, "a host is given it")
+        await follow(site, 9)
+        # Its position may have reached all hosts by now.
+        await asyncio.sleep(LIMIT_MS / 1_000)
+        calls = site.store.calls
+        await asyncio.sleep(OBSERVED_S)
+        assert site.store.calls - calls <= CALLS_LIMIT
+        await follow(site, 10)
