Emit nothing of a reader's run that was left behind

A run that was stuck still emitted the answer to its last call: the host counted its catalog as confirmed now though the answer was old, and the position from which changes continue went back. Seen: a confirmation after a second run had read further.

--- a/burdockmill/clients/catalog_reader.py
+++ b/burdockmill/clients/catalog_reader.py
@@ -106,9 +106,11 @@
                 await _sleep(ROLE_CHECK_MS)
                 continue
             try:
-                wait_ms = await self._step()
+                wait_ms = await self._step(generation)
                 retry_ms = RETRY_FIRST_MS
             except Exception as error:
+                if generation != self._generation:
+                    return
                 # Whatever a call raises, this host depends on the next one.
                 self.health.failed(error, self._world.catalog.position)
                 wait_ms = retry_ms * self._rng.uniform(0.5, 1.5)
@@ -132,7 +134,7 @@
             else USUAL_TIMEOUTS
         )
 
-    async def _step(self) -> float:
+    async def _step(self, generation: int) -> float:
         """Read or watch once; return how long to wait afterwards, in milliseconds."""
         reading = self._reading
         requested_ms = self._clock.now_ms()
@@ -144,19 +146,25 @@
             else:
                 delta = await self._source.watch(after, self._watch_ms)
         except HistoryLostError as error:
-            if is_whole_read:
-                # Another whole read at once would fail the same way.
+            # Another whole read at once would fail the same way.
+            if is_whole_read or generation != self._generation:
                 raise
             return self._plan_whole_read(after, error)
         except UnreadableAnswerError:
-            reading.unreadable(is_whole_read=is_whole_read)
+            if generation == self._generation:
+                reading.unreadable(is_whole_read=is_whole_read)
             raise
+        if generation != self._generation:
+            # The answer came to a run that was left behind, and may be old.
+            return 0.0
         if delta.position < after and not is_whole_read:
             reading.history_lost(after)
             raise StoreError(
                 f"the store is at revision {delta.revision}, "
                 f"before revision {after.revision}"
             )
+        if is_whole_read:
+            reading.whole_read()
         self.health.succeeded()
         now_ms = self._clock.now_ms()
         # A read of the whole catalog is emitted even if it is empty: later changes then
@@ -184,7 +192,6 @@
         era = self._world.catalog.era
         if delta.era < era:
             raise StoreError(f"era {delta.era} after era {era}")
-        self._reading.whole_read()
         return delta
 
     def _plan_whole_read(self, after: StorePosition, error: HistoryLostError) -> float:
--- a/tests/test_review_following.py
+++ b/tests/test_review_following.py
@@ -1,10 +1,18 @@
 """Check that odd answers of the store neither flood it nor end the following."""
 
 import asyncio
+import random
+from contextlib import suppress
 
 from aiohttp import web
 from loguru import logger
 
+from burdockmill.clients.catalog_reader import CatalogReader
+from burdockmill.clients.catalog_source import CatalogSource
+from burdockmill.clock import MonotonicClock
+from burdockmill.systems._ring import Ring
+from burdockmill.world import World
+from tests.builders_forwarding import make_delta, make_tables
 from tests.builders_forwarding_node import Site, until
 from tests.builders_platform import StandinStore
 
@@ -134,3 +142,57 @@
         await asyncio.sleep(OBSERVED_S)
         assert site.store.calls - calls <= CALLS_LIMIT
         await follow(site, 10)
+
+
+class LateSource(CatalogSource):
+    """Return the answer to the first watch long after that was abandoned."""
+
+    def __init__(self):
+        self.revision = 5
+        self.watches = 0
+        self.release = asyncio.Event()
+
+    async def read_all(self, timeout_ms):
+        whole = make_delta(self.revision)._replace(is_whole=True)
+        return whole._replace(tables=make_tables(), tables_revision=5)
+
+    async def watch(self, after, wait_ms):
+        self.watches += 1
+        if self.watches == 1:
+            while not self.release.is_set():
+                with suppress(asyncio.CancelledError):
+                    await self.release.wait()
+            return make_delta(6, base=5)
+        await asyncio.sleep(0.02)
+        self.revision += 1
+        return make_delta(self.revision, base=after.revision)
+
+    async def close(self):
+        pass
+
+
+async def test_the_answer_to_a_run_that_was_left_behind_is_not_emitted():
+    world = World("e0", "waw-a", random.Random(1))
+    source = LateSource()
+    events = []
+    reader = CatalogReader(
+        source,
+        world,
+        Ring(),
+        MonotonicClock(),
+        random.Random(1),
+        LIMIT_MS,
+        events.append,
+    )
+    late = asyncio.create_task(reader.run())
+    await until(lambda: source.watches == 1, "a watch hangs")
+    late.cancel()
+    current = asyncio.create_task(reader.run())
+    await until(lambda: source.watches > 1, "another run watches")
+    emitted = len(events)
+    current.cancel()
+    await asyncio.gather(current, return_exceptions=True)
+    source.release.set()
+    await asyncio.wait({late}, timeout=1.0)
+    assert late.done()
+    assert len(events) == emitted
