Show that a timer is lost when its system fails once

A system takes its due keys from the timer queue before it handles them. If it raises, the keys that it has not set again are gone: after one failure the age of the catalog was checked once in 20 s, not again. This test fails; it is not mended.

--- a/tests/test_review_following.py
+++ b/tests/test_review_following.py
@@ -10,7 +10,11 @@
 from burdockmill.clients.catalog_reader import CatalogReader
 from burdockmill.clients.catalog_source import CatalogSource
 from burdockmill.clock import MonotonicClock
+from burdockmill.fleet_core import make_fleet_engine
+from burdockmill.messages.events import HostStarted
 from burdockmill.systems._ring import Ring
+from burdockmill.systems.catalog_system import CatalogSystem
+from burdockmill.tables.rows import MemberRow
 from burdockmill.world import World
 from tests.builders_forwarding import make_delta, make_tables
 from tests.builders_forwarding_node import Site, until
@@ -196,3 +200,24 @@
     await asyncio.wait({late}, timeout=1.0)
     assert late.done()
     assert len(events) == emitted
+
+
+def test_a_timer_survives_one_failure_of_its_system(monkeypatch):
+    failures = []
+    engine = make_fleet_engine("e0", "waw-a", random.Random(1), Ring(), LIMIT_MS)
+    engine.on_failure = lambda system, error: failures.append(error)
+    check_age = CatalogSystem._check_age
+    checks = []
+
+    def fail_once(*arguments):
+        checks.append(arguments)
+        if len(checks) == 1:
+            raise RuntimeError("one failure")
+        check_age(*arguments)
+
+    monkeypatch.setattr(CatalogSystem, "_check_age", fail_once)
+    engine.post(HostStarted(MemberRow("e0", "waw-a", "", "127.0.0.1:9", 1), ()))
+    for now_ms in range(0, 20_000, 100):
+        engine.tick(float(now_ms))
+    assert len(failures) == 1
+    assert len(checks) > 1
