Keep the timers of a system that failed, and bound the log of failures in the core

Found by the review: a system takes its due keys from the queue before it handles them, so one failure lost a periodic timer for good; the age of the catalog was checked once in 20 s, not again, and by reading probes and refreshes would have ended the same way. The host lived on.

The engine schedules what a failed run popped and has not set again, one key after the other, so that a key that fails each time is alone. A tick, an action or a batch that fails each time writes one traceback in ten seconds; it wrote one each time.

--- a/burdockmill/clients/peer_client.py
+++ b/burdockmill/clients/peer_client.py
@@ -37,6 +37,8 @@
 BATCH_TIMEOUT_MS = 1_000
 EXPLAIN_TIMEOUT_MS = 500
 MILLISECONDS_PER_SECOND = 1_000
+# Unexpected failures of batches are logged this often at most.
+FAILURE_LOG_INTERVAL_S = 10.0
 OK = 200
 # The status of a peer that refused a batch before processing any message.
 NOTHING_ACCEPTED = 503
@@ -77,6 +79,7 @@
         self._session_by_address: OrderedDict[Address, NoRetrySession] = OrderedDict()
         self._closing_tasks: set[asyncio.Task] = set()
         self._closed = False
+        self._log_failures_from_s = 0.0
 
     def send(self, host: HostId, address: Address, message: PeerMessage) -> None:
         """Queue a message; report it as undelivered if the queue is full."""
@@ -166,9 +169,15 @@
         except Exception as error:
             # The next batch must not wait for good behind this one.
             self.counts["failed"] += 1
-            logger.opt(exception=error).error("peer: a batch failed unexpectedly.")
+            self._log_failure(error)
             self._report_undelivered(queue.host, messages, Ran.UNKNOWN)
 
+    def _log_failure(self, error: Exception) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if now_s >= self._log_failures_from_s:
+            self._log_failures_from_s = now_s + FAILURE_LOG_INTERVAL_S
+            logger.opt(exception=error).error("peer: a batch failed unexpectedly.")
+
     def _finish(
         self, host: HostId, messages: list[PeerMessage], response: HttpResponse
     ) -> None:
--- a/burdockmill/engine.py
+++ b/burdockmill/engine.py
@@ -18,6 +18,10 @@
     from burdockmill.systems.system import System
     from burdockmill.world import World
 
+# Timers of a system that failed become due again after this time, one by one.
+FAILED_RETRY_MS = 1_000.0
+FAILED_INTERVAL_MS = 20.0
+
 
 class Engine:
     """Route events to systems and run them until none has work, tick by tick."""
@@ -29,7 +33,7 @@
         pause_system: PauseSystem | None = None,
     ) -> None:
         self.world = world
-        # Receives the name of a system that fails and the error, instead of the caller
+        # Receives which system failed and the error, instead of the caller
         # of `tick`; the other events and systems then run on.
         self.on_failure: Callable[[str, Exception], None] | None = None
         self._pause_system = pause_system or PauseSystem()
@@ -85,12 +89,15 @@
     ) -> list[Action]:
         """Run a system; block it if it fails without having handled an event."""
         queued = self.world.queued_events(system.name)
+        due = self.world.due(system.name)
+        due.begin_run()
         try:
             return system.run(self.world, now_ms)
         except Exception as error:
             if self.on_failure is None:
                 raise
-            self.on_failure(system.name, error)
+            self.on_failure(f"the {system.name} system", error)
+            due.restore_popped(now_ms + FAILED_RETRY_MS, FAILED_INTERVAL_MS)
             if self.world.queued_events(system.name) in (0, queued):
                 blocked.add(system.name)
             return []
--- a/burdockmill/engine_pump.py
+++ b/burdockmill/engine_pump.py
@@ -19,6 +19,7 @@
 MILLISECONDS_PER_SECOND = 1_000
 FAILED_WAIT_MS = 100.0
 FAILURE_LOG_INTERVAL_MS = 10_000.0
+TICK = "a tick"
 
 
 class EnginePump:
@@ -39,7 +40,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due_ms = 0.0
         self._failed_in_tick = False
-        self._logged_ms_by_system: dict[str, float] = {}
+        self._logged_ms_by_name: dict[str, float] = {}
         engine.on_failure = self._record_failure
 
     def post(self, event: Event) -> None:
@@ -65,22 +66,20 @@
         now_ms = self._clock.now_ms()
         try:
             self._carry_out(self._engine.tick(now_ms), now_ms)
-        except Exception:
-            self._failed_in_tick = True
-            self._counts["ticks_failed"] += 1
-            logger.exception("core: a tick failed.")
+        except Exception as error:
+            self._record_failure(TICK, error)
         self._set_timer(now_ms)
 
-    def _record_failure(self, system: str, error: Exception) -> None:
-        """Count the failure of a system; log it at a bounded rate."""
+    def _record_failure(self, name: str, error: Exception) -> None:
+        """Count the failure of a system or a tick; log it at a bounded rate."""
         self._failed_in_tick = True
         self._counts["ticks_failed"] += 1
         now_ms = self._clock.now_ms()
-        logged_ms = self._logged_ms_by_system.get(system)
+        logged_ms = self._logged_ms_by_name.get(name)
         if logged_ms is not None and now_ms - logged_ms < FAILURE_LOG_INTERVAL_MS:
             return
-        self._logged_ms_by_system[system] = now_ms
-        logger.opt(exception=error).error("core: the {} system failed.", system)
+        self._logged_ms_by_name[name] = now_ms
+        logger.opt(exception=error).error("core: {} failed.", name)
 
     def _set_timer(self, now_ms: float) -> None:
         due_ms = self._engine.next_due_ms()
--- a/burdockmill/tables/timer_queue.py
+++ b/burdockmill/tables/timer_queue.py
@@ -17,13 +17,14 @@
     before `earliest_ms`, which may lie before the first due time after a cancellation.
     """
 
-    __slots__ = ("_due_by_key", "_heap", "_sequence", "earliest_ms")
+    __slots__ = ("_due_by_key", "_heap", "_popped", "_sequence", "earliest_ms")
 
     def __init__(self) -> None:
         self.earliest_ms = math.inf
         self._due_by_key: dict[K, float] = {}
         self._heap: list[tuple[float, int, K]] = []
         self._sequence = 0
+        self._popped: list[K] = []
 
     def __len__(self) -> int:
         return len(self._due_by_key)
@@ -66,8 +67,23 @@
             del self._due_by_key[key]
             self.earliest_ms = self._heap[0][0] if self._heap else math.inf
             keys.append(key)
+        self._popped = keys
         return keys
 
+    def begin_run(self) -> None:
+        """Forget which keys earlier runs have popped."""
+        if self._popped:
+            self._popped = []
+
+    def restore_popped(self, due_ms: float, interval_ms: float) -> None:
+        """Schedule the keys that this run popped and has not scheduled again.
+
+        They become due one by one, so that one that fails each time is alone.
+        """
+        lost = [key for key in self._popped if key not in self]
+        for index, key in enumerate(lost):
+            self.schedule(key, due_ms + index * interval_ms)
+
     def _is_stale(self) -> bool:
         due_ms, _, key = self._heap[0]
         return self._due_by_key.get(key) != due_ms
--- a/tests/test_timer_queue.py
+++ b/tests/test_timer_queue.py
@@ -40,3 +40,25 @@
         if asks_next:
             assert queue.next_due_ms() == (first_ms if due_by_key else None)
             assert queue.earliest_ms == first_ms
+
+
+def test_keys_that_a_failed_run_popped_become_due_one_by_one():
+    timers = TimerQueue()
+    for key in ("kept", "lost", "lost too"):
+        timers.schedule(key, 1.0)
+    timers.begin_run()
+    assert timers.pop_due(1.0) == ["kept", "lost", "lost too"]
+    timers.schedule("kept", 50.0)
+    timers.restore_popped(100.0, 20.0)
+    assert timers.pop_due(60.0) == ["kept"]
+    assert timers.pop_due(100.0) == ["lost"]
+    assert timers.pop_due(120.0) == ["lost too"]
+
+
+def test_only_the_keys_of_the_current_run_are_restored():
+    timers = TimerQueue()
+    timers.schedule("handled", 1.0)
+    timers.pop_due(1.0)
+    timers.begin_run()
+    timers.restore_popped(100.0, 20.0)
+    assert timers.next_due_ms() is None
