Send one attempt at a time at a request under which several upstreams ended

Callers saw: a request that silences upstreams reached them up to 12 times later than 5 s after the third crash, where three are allowed, and requests that share its replicas were held back. Cause: the canaries of runs and hosts did not know of each other, so that each host sent its own in the half second before the first verdict, and all replicas ended again at once. A host that missed the one message that tells of a hold learned of it seconds later by a poll; one that held a request back did not correct a host that told it less; a retry was sent without a look at the news. Change: once two crashes are known, other attempts at a request wait for the canary in flight, 800 ms at most; it is told to all hosts with its age, and so is a trial. News is sent again in fleets that one host tells at once, a host that holds a request back says so to one that does not, and a retry looks at the news first. Why it works: what ends replicas is a second canary before the first one's verdict, and the only window left is the time that the news takes.

--- a/burdockmill/forwarding/crash_guard.py
+++ b/burdockmill/forwarding/crash_guard.py
@@ -10,7 +10,11 @@
 from burdockmill.forwarding.upstream_notices import Incarnation
 from burdockmill.messages.suspects import SuspectsChanged
 from burdockmill.placement import rendezvous
-from burdockmill.policies.crash_blame import HELD_DEPTH, Crash
+from burdockmill.policies.crash_blame import (
+    HELD_DEPTH,
+    LONE_CANARY_CRASHES,
+    Crash,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable, Mapping
@@ -18,15 +22,14 @@
     from burdockmill.forwarding.messages import Registration
     from burdockmill.messages.events import Event
     from burdockmill.names import HostId
-    from burdockmill.tables.crash_suspects import CrashSuspects, SuspectRow
+    from burdockmill.tables.crash_suspects import CrashSuspects
+    from burdockmill.tables.suspect_row import SuspectRow
 
 # An upstream that ended is back after some seconds; a reply before that disproves it.
 DISPROOF_MS = 1_000.0
 # The store shows a new incarnation within this time; until then a reply may be from
 # the next run of an upstream that fell silent.
 REGISTRATION_DELAY_MS = 2_500.0
-# A trial without an outcome for this long no longer prevents another one.
-TRIAL_LIMIT_MS = 5_000.0
 # A trial that is due happens at the host that a client reaches only by chance.
 MIN_RETURN_MS = 1_000.0
 # A request that gets no more trials is told to return after this time.
@@ -85,11 +88,12 @@
             return Standing.TRUSTED
         if not row.is_held:
             return Standing.SUSPECTED
-        due_ms = max(row.next_trial_ms, row.trial_until_ms)
+        due_ms = max(row.next_trial_ms, row.canary_until_ms)
         if now_ms < due_ms or self._trial_host(row) != self._host:
             self.counts["refused"] += 1
             return Standing.HELD
-        row.trial_until_ms = now_ms + TRIAL_LIMIT_MS
+        row.canary_sent_ms = now_ms
+        self._publish(row)
         self.counts["trials"] += 1
         return Standing.TRIAL
 
@@ -146,6 +150,30 @@
         if row.is_shared or row.is_held:
             self._publish(row)
 
+    def must_wait(self, key: str, now_ms: float) -> bool:
+        """Return whether an attempt of this or another host has to end first."""
+        row = self.suspects.row(key)
+        return row is not None and not row.is_held and now_ms < row.canary_until_ms
+
+    def canary_sent(self, key: str, now_ms: float) -> None:
+        """Let other attempts at a request that crashed several upstreams wait."""
+        row = self.suspects.row(key)
+        if row is None or row.is_held:
+            return
+        if len(row.crash_by_incarnation) >= LONE_CANARY_CRASHES:
+            row.canary_sent_ms = now_ms
+            self.counts["lone_canaries"] += 1
+            if row.is_shared:
+                self._publish(row)
+            else:
+                self.share([key], now_ms)
+
+    def canary_ended(self, key: str) -> None:
+        """Let the next attempt at a request be sent."""
+        row = self.suspects.row(key)
+        if row is not None and not row.is_held:
+            row.end_canary()
+
     def trial_failed(self, key: str, now_ms: float) -> None:
         """Record that a trial ended without an answer."""
         row = self.suspects.row(key)
--- a/burdockmill/forwarding/request_run.py
+++ b/burdockmill/forwarding/request_run.py
@@ -79,7 +79,7 @@
         """Return the clock time in milliseconds at which `tick` is due, or None."""
         if self.completed:
             return None
-        due_ms = min(self.answering.times.final_ms, self._hedges.next_ms)
+        due_ms = min(self.final_ms, self._hedges.next_ms, self.suspicion.recheck_ms)
         if self.route.shards is not None and not self._is_past_partial:
             due_ms = min(due_ms, self.answering.times.partial_ms)
         return due_ms
@@ -168,6 +168,8 @@
             self._is_past_partial = True
         for part in self._hedges.pop_due(now_ms):
             self._hedge(part, now_ms, actions)
+        if self.suspicion.waiting:
+            self._resume(now_ms, actions)
         self._complete_if_due(now_ms, actions)
         return actions
 
@@ -183,10 +185,9 @@
 
         Return whether it is or will be sent.
         """
-        route = self.route
         if choice is None:
             return False
-        if self.suspicion.must_wait(part, kind):
+        if self.suspicion.must_wait(part, kind, now_ms):
             return True
         if kind is AttemptKind.HEDGE and choice.expected_ms >= HEDGE_TARGET_LIMIT_MS:
             return False
@@ -194,13 +195,13 @@
         if is_repeat and not self._planner.withdraw_repeat(part.service, kind, now_ms):
             return False
         self._add(part, choice.upstream, kind, now_ms, actions, is_paid=is_repeat)
-        may_copy = route.is_idempotent and self.suspicion.may_hedge(part.service)
+        may_copy = self.route.is_idempotent and self.suspicion.may_hedge(part.service)
         if kind is AttemptKind.FIRST and may_copy:
             self._probe(part, choice.upstream, now_ms, actions)
         part.hedge_ms = None
         if part.may_run_again(self.route) and choice.alternative_ms is not None:
             remaining_ms = self._goal_end_ms - now_ms
-            delay_ms = self._planner.hedge_delay_ms(route, choice, remaining_ms)
+            delay_ms = self._planner.hedge_delay_ms(self.route, choice, remaining_ms)
             self._hedges.schedule(part, now_ms + delay_ms)
         return True
 
@@ -227,7 +228,7 @@
         is_canary = self.suspicion.is_cautious
         sent = SendAttempt(number, part.index, upstream, kind, end_ms, is_canary)
         actions.append(sent)
-        self.suspicion.sent(number, part.service)
+        self.suspicion.sent(number, part.service, now_ms)
 
     def _probe(
         self,
@@ -274,7 +275,7 @@
     def _resume(self, now_ms: float, actions: list[RunAction]) -> None:
         """Send the attempts that need not wait any longer, or give them up."""
         self.suspicion.follow_news()
-        while (waiting := self.suspicion.take_waiting()) is not None:
+        while (waiting := self.suspicion.take_waiting(now_ms)) is not None:
             part, kind = waiting
             if not self.suspicion.has_given_up and not self._is_too_late(now_ms):
                 choice = self._choose(part, kind, now_ms)
--- a/burdockmill/forwarding/run_suspicion.py
+++ b/burdockmill/forwarding/run_suspicion.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from functools import cached_property
 from typing import TYPE_CHECKING
 
@@ -23,6 +24,8 @@
     from burdockmill.forwarding.request_digest import RequestDigest
     from burdockmill.names import DomainId, ServiceId
 
+# Interval at which a run looks whether the canary of another one has ended.
+CANARY_RECHECK_MS = 20.0
 # Ends that show that an upstream ran the request and went on.
 ANSWERS = frozenset({AttemptEnd.ANSWERED, AttemptEnd.UPSTREAM_ERROR})
 
@@ -52,6 +55,7 @@
         self._canaries: set[int] = set()
         # Whether an attempt in flight has to be replaced since its upstream is silent.
         self._lacks_attempt = False
+        self._recheck_ms = math.inf
         self._unanswered_keys: set[str] = set()
         self._known_depth: dict[tuple[int, str], int] = {}
 
@@ -76,6 +80,11 @@
         """Return the failure domains that the canary does not go to if it can."""
         return self._crashed_domains if self.is_cautious else ()
 
+    @property
+    def recheck_ms(self) -> float:
+        """Return the clock time at which `take_waiting` is to be called again."""
+        return self._recheck_ms if self.waiting else math.inf
+
     @property
     def is_urgent(self) -> bool:
         """Return whether others should know before this run has ended."""
@@ -104,6 +113,7 @@
 
     def may_retry(self, service: ServiceId) -> bool:
         """Return whether a failed attempt at a part may be followed by another one."""
+        self.follow_news()
         if self.has_given_up:
             return False
         return not (self._is_search and self._guard.is_held(self._part_key(service)))
@@ -114,16 +124,17 @@
             return False
         return self.may_retry(service)
 
-    def must_wait(self, part: PartRun, kind: AttemptKind) -> bool:
-        """Return whether an attempt has to wait for the canary; it is queued then."""
-        if not self.is_cautious or self.canary is None:
+    def must_wait(self, part: PartRun, kind: AttemptKind, now_ms: float) -> bool:
+        """Return whether an attempt has to wait for a canary; it is queued then."""
+        if not self._waits_for_canary(now_ms):
             return False
         self.waiting.append((part, kind))
         return True
 
-    def sent(self, attempt: int, service: ServiceId) -> None:
+    def sent(self, attempt: int, service: ServiceId, now_ms: float) -> None:
         """Record an attempt; it is the canary if the run is cautious."""
         if self.is_cautious:
+            self._guard.canary_sent(self.digest, now_ms)
             self.canary = attempt
             self._canaries.add(attempt)
             self._lacks_attempt = False
@@ -132,9 +143,9 @@
                 if depth := self._guard.depth(key):
                     self._known_depth[attempt, key] = depth
 
-    def take_waiting(self) -> tuple[PartRun, AttemptKind] | None:
+    def take_waiting(self, now_ms: float) -> tuple[PartRun, AttemptKind] | None:
         """Remove and return an attempt that may be sent now, None if there is none."""
-        if self.is_cautious and self.canary is not None:
+        if not self.has_given_up and self._waits_for_canary(now_ms):
             return None
         while self.waiting:
             part, kind = self.waiting.pop(0)
@@ -153,6 +164,7 @@
         was_canary = self.canary == row.number
         if was_canary:
             self.canary = None
+            self._guard.canary_ended(self.digest)
         if outcome.end in ANSWERS:
             self._answered(service, now_ms)
         elif outcome.is_cut_off:
@@ -169,6 +181,7 @@
         was_canary = self.canary == row.number
         if was_canary:
             self.canary = None
+            self._guard.canary_ended(self.digest)
         self._lacks_attempt = True
         if row.number not in self._canaries:
             for key in self._keys(service):
@@ -182,9 +195,27 @@
             self._guard.answered([self.digest], now_ms)
 
     def follow_news(self) -> None:
-        """Give up if other hosts have found meanwhile that the request crashes."""
+        """Give up if other hosts have found meanwhile that the request crashes.
+
+        Caution ends if they have found that it does not.
+        """
         if self.is_cautious and self.digest not in self._trial_keys:
             self.has_given_up |= self._guard.is_held(self.digest)
+            if self.waiting and self.canary is None:
+                self.is_cautious = self._guard.crash_count(self.digest) > 0
+
+    def _waits_for_canary(self, now_ms: float) -> bool:
+        """Return whether the canary of this or another run is in flight.
+
+        Set when to look again, as nothing tells a run of the end of another's canary.
+        """
+        self._recheck_ms = math.inf
+        if not self.is_cautious:
+            return False
+        if self.canary is None and self._guard.must_wait(self.digest, now_ms):
+            self._recheck_ms = now_ms + CANARY_RECHECK_MS
+            return True
+        return self.canary is not None
 
     def _answered(self, service: ServiceId, now_ms: float) -> None:
         """Record an answer: the request does not crash what runs it."""
--- a/burdockmill/messages/suspects.py
+++ b/burdockmill/messages/suspects.py
@@ -26,7 +26,8 @@
 
     `key` is its digest, followed by a shard's service if only that is meant. Each
     answer to the request starts another `round` without crashes; the highest round is
-    valid. `age_ms` is the time since the last change.
+    valid. `age_ms` is the time since the last change. `canary_age_ms` is the time since
+    an attempt was sent that others wait for, negative if none is in flight.
     """
 
     key: str
@@ -35,6 +36,7 @@
     trials: int
     age_ms: float
     crashes: tuple[CrashReport, ...]
+    canary_age_ms: float = -1.0
 
 
 class SuspectNews(NamedTuple):
--- a/burdockmill/policies/crash_blame.py
+++ b/burdockmill/policies/crash_blame.py
@@ -25,6 +25,14 @@
 # held back still crashes upstreams: soon, in case that it is innocent, and once later,
 # in case that the upstreams were repaired.
 TRIAL_DELAYS_MS = (2_000.0, 600_000.0)
+# Once this many crashes are known under a request without an answer, all hosts together
+# send one attempt at a time.
+LONE_CANARY_CRASHES = 2
+# Other attempts wait this long for the end of that attempt: until the silence of an
+# upstream is noticed and told, or most answers have arrived.
+CANARY_LIMIT_MS = 800.0
+# A trial without an outcome for this long no longer prevents another one.
+TRIAL_LIMIT_MS = 5_000.0
 # A request that is held back is forgotten this long after its last crash.
 HELD_MS = 6 * 3_600_000.0
 # Fewer crashes are forgotten after this time, and that a request was cleared after the
--- a/burdockmill/systems/suspect_news_system.py
+++ b/burdockmill/systems/suspect_news_system.py
@@ -20,12 +20,15 @@
     from burdockmill.names import HostId
     from burdockmill.world import World
 
-POLL, FLUSH = "poll", "flush"
+POLL, FLUSH, REPEAT = "poll", "flush", "repeat"
 # Each host passes news on to so many others; larger fleets need few more hops.
 FANOUT = 8
 REPORTS_PER_MESSAGE = 32
 # News within this time of the last is sent together.
 BATCH_WINDOW_MS = 20.0
+# A fleet that is told at once by one host gets the same news again after these times,
+# since a single message may be lost; in a larger one news takes several ways.
+REPEAT_DELAYS_MS = (100.0, 400.0)
 # Interval at which a host compares what it holds back with a random other one, while it
 # holds any request back, and while it has just started.
 HELD_POLL_MS = 1_000.0
@@ -44,6 +47,8 @@
         # The keys to pass on, as an ordered set, and when the last news was sent.
         self._pending_by_key: dict[str, None] = {}
         self._sent_ms = -BATCH_WINDOW_MS
+        # The keys of news to send again, by the time at which that is due.
+        self._repeated_by_due: dict[float, list[str]] = {}
 
     def run(self, world: World, now_ms: float) -> list[Action]:
         """Pass news on, and compare what is known with other hosts."""
@@ -67,6 +72,7 @@
                 poll = SuspectPoll(world.suspects.checksum())
                 actions.append(SendToPeer(host, poll))
             self._schedule_poll(world, now_ms)
+        self._repeat(world, now_ms, actions)
         self._flush(world, now_ms, actions)
         return actions
 
@@ -85,6 +91,24 @@
         keys, self._pending_by_key = list(self._pending_by_key), {}
         hosts = self._targets(world, FANOUT)
         self._send_news(world, hosts, keys, now_ms, actions)
+        if len(world.member_by_host) <= FANOUT + 1:
+            for delay_ms in REPEAT_DELAYS_MS:
+                self._repeated_by_due[now_ms + delay_ms] = keys
+            self._schedule_repeat(world)
+
+    def _repeat(self, world: World, now_ms: float, actions: list[Action]) -> None:
+        """Send the news again that is due."""
+        due = sorted(at_ms for at_ms in self._repeated_by_due if at_ms <= now_ms)
+        for at_ms in due:
+            keys = self._repeated_by_due.pop(at_ms)
+            hosts = self._targets(world, FANOUT)
+            self._send_news(world, hosts, keys, now_ms, actions)
+        if due:
+            self._schedule_repeat(world)
+
+    def _schedule_repeat(self, world: World) -> None:
+        if self._repeated_by_due:
+            world.due(self.name).schedule(REPEAT, min(self._repeated_by_due))
 
     def _receive(
         self,
--- a/burdockmill/tables/crash_suspects.py
+++ b/burdockmill/tables/crash_suspects.py
@@ -12,127 +12,25 @@
 from xxhash import xxh3_64_intdigest
 
 from burdockmill.forwarding.upstream_notices import Incarnation
-from burdockmill.messages.suspects import CrashReport, SuspectReport
-from burdockmill.policies.crash_blame import (
-    CLEARED_MS,
-    HELD_DEPTH,
-    HELD_MS,
-    SUSPECTED_MS,
-    Crash,
-    greatest_depth,
-    next_trial_ms,
-)
+from burdockmill.policies.crash_blame import HELD_DEPTH, Crash
+from burdockmill.tables.suspect_row import SuspectRow
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
+    from burdockmill.messages.suspects import SuspectReport
+
 ROWS_LIMIT = 1_024
-# More crashes than are needed to hold a request back are not stored.
-CRASHES_LIMIT = 8
 
 
 class Merged(NamedTuple):
-    """Tell what a report changed; `is_stale` if this host knows a higher round."""
-
-    is_changed: bool
-    is_stale: bool = False
+    """Tell what a report changed; `is_stale` if its sender does not know what we do.
 
-
-class SuspectRow:
-    """Store the crashes under one request since its last answer.
-
-    `changed_ms` is when the last crash was recorded, or the row was cleared.
-    `is_shared` is set once other hosts were told, `is_logged` while the log states that
-    it is held back. Until `trial_until_ms` a trial is in flight.
+    That is a higher round, or that the request is held back.
     """
 
-    __slots__ = (
-        "changed_ms",
-        "crash_by_incarnation",
-        "is_held",
-        "is_logged",
-        "is_shared",
-        "key",
-        "round",
-        "trial_until_ms",
-        "trials",
-    )
-
-    def __init__(self, key: str, now_ms: float) -> None:
-        self.key = key
-        self.round = 0
-        self.is_held = False
-        self.is_logged = False
-        self.is_shared = False
-        self.trials = 0
-        self.changed_ms = now_ms
-        self.trial_until_ms = now_ms
-        self.crash_by_incarnation: dict[Incarnation, Crash] = {}
-
-    @property
-    def next_trial_ms(self) -> float:
-        """Return when the next trial is due, in clock milliseconds."""
-        return next_trial_ms(self.trials, self.changed_ms)
-
-    @property
-    def forgotten_ms(self) -> float:
-        """Return when the row expires, in clock milliseconds."""
-        if self.is_held:
-            return self.changed_ms + HELD_MS
-        kept_ms = SUSPECTED_MS if self.crash_by_incarnation else CLEARED_MS
-        return self.changed_ms + kept_ms
-
-    @property
-    def depth(self) -> int:
-        """Return how many crashes followed one from the other."""
-        return greatest_depth(self.crash_by_incarnation.values())
-
-    def report(self, now_ms: float) -> SuspectReport:
-        """Return what this host knows, for other hosts."""
-        crashes = tuple(
-            CrashReport(*incarnation, one.host, one.depth, now_ms - one.ended_ms)
-            for incarnation, one in self.crash_by_incarnation.items()
-        )
-        age_ms = now_ms - self.changed_ms
-        return SuspectReport(
-            self.key, self.round, self.is_held, self.trials, age_ms, crashes
-        )
-
-    def start_round(self, number: int, now_ms: float) -> None:
-        """Forget all crashes: an answer showed that the request does not cause them."""
-        self.round = number
-        self.is_held = False
-        self.trials = 0
-        self.changed_ms = now_ms
-        self.crash_by_incarnation.clear()
-
-    def add(self, incarnation: Incarnation, crash: Crash) -> bool:
-        """Add a crash; return whether it was new and is stored."""
-        crashes = self.crash_by_incarnation
-        if incarnation in crashes:
-            return False
-        crashes[incarnation] = crash
-        self.changed_ms = max(self.changed_ms, crash.ended_ms)
-        self.is_held = self.is_held or self.depth >= HELD_DEPTH
-        if len(crashes) > CRASHES_LIMIT:
-            del crashes[self._least_telling()]
-        return incarnation in crashes
-
-    def remove(self, incarnation: Incarnation) -> None:
-        """Remove a crash that was none; those that followed from it are less deep."""
-        removed = self.crash_by_incarnation.pop(incarnation)
-        crashes = self.crash_by_incarnation
-        if any(crash.depth == removed.depth for crash in crashes.values()):
-            return
-        for other, crash in crashes.items():
-            if crash.depth > removed.depth:
-                crashes[other] = crash._replace(depth=crash.depth - 1)
-
-    def _least_telling(self) -> Incarnation:
-        """Return a crash of the depth that most others have too."""
-        crashes = self.crash_by_incarnation
-        count_by_depth = Counter(crash.depth for crash in crashes.values())
-        return max(crashes, key=lambda one: (count_by_depth[crashes[one].depth], one))
+    is_changed: bool
+    is_stale: bool = False
 
 
 class CrashSuspects:
@@ -174,7 +72,7 @@
     def end_trial(self, row: SuspectRow, now_ms: float) -> None:
         """Record that a trial of a request ended without an answer."""
         row.trials += 1
-        row.trial_until_ms = now_ms
+        row.end_canary()
         row.changed_ms = now_ms
         self.counts["trials_failed"] += 1
 
@@ -229,6 +127,10 @@
         is_changed = is_changed or row.depth > depth
         if report.is_held and not row.is_held:
             row.is_held = is_changed = True
+        if row.depth > depth or report.trials > row.trials:
+            row.end_canary()
+        if report.canary_age_ms >= 0.0:
+            is_changed |= row.learn_canary(now_ms - report.canary_age_ms)
         if report.trials > row.trials:
             row.trials, is_changed = report.trials, True
             row.changed_ms = max(row.changed_ms, now_ms - max(0.0, report.age_ms))
@@ -236,7 +138,7 @@
         if row.forgotten_ms <= now_ms:
             del self._row_by_key[row.key]
             return Merged(False)
-        return Merged(is_changed)
+        return Merged(is_changed, is_stale=row.is_held and not report.is_held)
 
     def stored_row(self, key: str) -> SuspectRow | None:
         """Return the row of a request, also of one that was cleared, or None."""
