Count the settings that a default or an earlier value replaces in the metrics

What operators saw: a safe default that was in force since a start, or a last valid value, was named in one log line at the change and nowhere after. Cause: the problems of a reading stayed in the watcher. Measured: the new test fails with a count that stays 0, and passes.

--- a/burdockmill/_forwarding_reports.py
+++ b/burdockmill/_forwarding_reports.py
@@ -16,6 +16,7 @@
     REQUESTS_OPEN,
     REVISION,
     RULES_AGE,
+    SETTINGS_REPLACED,
     STORE_ANSWER_AGE,
     STORE_ERA,
     STORE_ITEMS_SET_ASIDE,
@@ -143,6 +144,7 @@
         metrics.set_gauge(STORE_ERA, world.catalog.era)
         metrics.set_gauge(ISOLATED, world.reach.is_isolated)
         metrics.set_gauge(RULES_AGE, age_ms / MILLISECONDS_PER_SECOND)
+        metrics.set_gauge(SETTINGS_REPLACED, node.settings_replaced)
         self._set_store_health()
         self._set_members()
         return metrics.render_text(accept)
--- a/burdockmill/forwarding_node.py
+++ b/burdockmill/forwarding_node.py
@@ -248,6 +248,12 @@
         """Poll the settings with `watch` while this host runs; call before `start`."""
         self._settings_watch = watch
 
+    @property
+    def settings_replaced(self) -> int:
+        """Return how many settings have the last valid value or a default."""
+        watch = self._settings_watch
+        return 0 if watch is None else watch.problem_count
+
     def apply(self, settings: ForwardingSettings) -> None:
         """Apply changed repeat limits and seeds; others take effect at the next start.
 
--- a/burdockmill/metrics.py
+++ b/burdockmill/metrics.py
@@ -124,6 +124,13 @@
     (),
     "Time since a peer reported a newer catalog that this host still lacks, else 0.",
 )
+SETTINGS_REPLACED = Metric(
+    "burdockmill_settings_replaced",
+    MetricKind.GAUGE,
+    (),
+    "Settings that are missing or malformed, so that their last valid value or a "
+    "default is in force.",
+)
 REFUSED_REVISION = Metric(
     "burdockmill_rules_refused_revision",
     MetricKind.GAUGE,
@@ -170,6 +177,7 @@
     STORE_ITEMS_SET_ASIDE,
     STORE_ANSWER_AGE,
     CATALOG_BEHIND,
+    SETTINGS_REPLACED,
     REFUSED_REVISION,
     MEMBERS,
     REQUESTS_OPEN,
--- a/burdockmill/settings_watcher.py
+++ b/burdockmill/settings_watcher.py
@@ -37,6 +37,11 @@
         self._problems = problems
         self._read_error = ""
 
+    @property
+    def problem_count(self) -> int:
+        """Return how many settings have a replacement for what the file states."""
+        return len(self._problems)
+
     async def run(self) -> None:
         """Check the settings periodically until cancelled."""
         while True:
--- a/tests/test_settings_watch.py
+++ b/tests/test_settings_watch.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import re
 import signal
 import sys
 
@@ -70,6 +71,25 @@
     assert [one.change_limit_ms for one in file.applied] == [3_000]
 
 
+# Guards against a safe default that stays in force unseen once its line has passed.
+async def test_metrics_state_how_many_settings_are_replaced_until_they_are_valid():
+    file = FakeSettingsFile()
+    async with Site() as site:
+        node = site.nodes[0]
+        node.watch_settings(file.watch)
+        for text, replaced in (
+            (SETTINGS, 0),
+            (SETTINGS.replace("drain-ms=3000", "drain-ms=soon"), 1),
+            (SETTINGS.replace("drain-ms=3000", "drain-ms=").replace("zone=", "z="), 2),
+            (SETTINGS, 0),
+        ):
+            file.text = text
+            file.watch.check()
+            text, _ = node._reports.metrics_text(("text/plain",))
+            [line] = re.findall(rb"^burdockmill_settings_replaced.*", text, re.M)
+            assert line.split()[-1] == str(replaced).encode()
+
+
 def test_a_file_that_cannot_be_read_is_reported_once_until_that_changes():
     lines = []
     sink = logger.add(lines.append, format="{message}")
