--- a/tests/test_following_store.py
+++ b/tests/test_following_store.py
@@ -22,6 +22,7 @@
     return [node.engine.world.catalog.version for node in site.nodes]
 
 
+# Guards against review/1: an entry that cannot be read ends the reading at every host.
 async def test_hosts_follow_the_store_past_an_entry_that_nests_too_deeply():
     async with Site(hosts=3, change_limit_ms=CHANGE_LIMIT_MS) as site:
         await site.ready()
@@ -38,6 +39,7 @@
             assert (await site.client(node).ask("/added/2f")).status == 200
 
 
+# Guards against review/1: a restarted host gets no catalog while the entry is there.
 async def test_a_host_starts_while_the_store_holds_an_entry_that_nests_too_deeply():
     async with Site() as site:
         await site.ready()
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -35,6 +35,7 @@
     site.store.put_text(key, b64encode(value).decode())
 
 
+# Guards against review/1 for other bytes that an entry may hold.
 async def test_hosts_follow_the_store_past_each_odd_entry():
     async with Site(hosts=3, change_limit_ms=CHANGE_LIMIT_MS) as site:
         await site.ready()
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -116,6 +116,7 @@
     assert parse_platform_settings(text, last) == (expected, problems)
 
 
+# Guards against review/4: a bound that is a fraction counts as missing.
 @pytest.mark.parametrize(
     ("name", "value", "key", "expected"),
     [
--- a/tests/test_settings_watch.py
+++ b/tests/test_settings_watch.py
@@ -148,6 +148,7 @@
     assert all(json.loads(line)["message"] for line in log_lines)
 
 
+# Guards against review/4: a host that is stopped does not start again.
 @pytest.mark.parametrize(
     ("changed", "is_reported"),
     [("3999.5", False), ("4000.0", False), ("nan", True), ("", True)],
--- a/tests/test_silent_crashes.py
+++ b/tests/test_silent_crashes.py
@@ -34,6 +34,7 @@
     return sum(fleet.held_back(one) for one in targets if fleet.results_of(one))
 
 
+# Guards against review/3: a crash that ends no connection leaves no trace.
 @pytest.mark.parametrize("per_domain", [3, LARGE])
 @pytest.mark.parametrize("kind", ROUTES)
 def test_a_request_that_silences_upstreams_is_held_back_by_all_hosts(kind, per_domain):
--- a/tests/test_unsendable_values.py
+++ b/tests/test_unsendable_values.py
@@ -69,6 +69,7 @@
                 await asyncio.sleep(0.01)
 
 
+# Guards against review/2: a success passes without the stamp of its upstream.
 @pytest.mark.parametrize("stamp", SPOILED_STAMPS)
 async def test_an_answer_with_a_spoiled_stamp_is_a_wrong_answer(stamp):
     async with StandinUpstream("u-1") as upstream:
@@ -105,6 +106,7 @@
         assert len(site.spoiled) == 80
 
 
+# Guards against review/2: a search with a spoiled part ends with a closed connection.
 async def test_a_search_does_without_a_part_whose_stamp_is_always_spoiled():
     async with SpoilingSite(b"\x07", always="a") as site:
         await site.ready()
--- a/tests/test_upstream_facts.py
+++ b/tests/test_upstream_facts.py
@@ -44,6 +44,7 @@
     return registration
 
 
+# Guards against review/5: a notice that came by way of another host is not learned.
 @pytest.mark.parametrize(
     ("target", "services"), [("/fetch/1", ["c"]), ("/overlap/1", ["a", "b"])]
 )
