Ignore a reply that was meant for an earlier process of this host

Callers of the product's own protocol saw: an action sent to an upstream after its deadline, 8 ms to 8 s late, one answered so late, and a request without an answer (the four cases of TestActions). Cause: a host relates the clock of another host to its own from a reply that states when it was asked. A reply to an earlier process of the host, whose clock was ahead, seems to answer a request from the future: its round trip is negative, by 40 s in the examples, so that the time by which an action is valid lies that much later; and no later reply replaces it, as that seems older. Evidence: a trace of one example. The reply was asked at 50 ms and read at -39,912 ms; the next action got 81,514 ms as its end in place of some 1,600. That a clock below 0 is the cause was ruled out: with all clocks 100 s ahead the four cases fail alike. Change: a reply to a request from the future is ignored. Sessions of tickets use the same code.

--- a/burdockmill/systems/_owner_sessions.py
+++ b/burdockmill/systems/_owner_sessions.py
@@ -62,7 +62,13 @@
     def apply_response(
         self, host: HostId, response: SessionResponse, now_ms: float
     ) -> None:
-        """Apply a session response; ignore one to an older request."""
+        """Apply a session response; ignore one to an older request.
+
+        One to a request from the future was meant for an earlier process of this host,
+        whose clock was ahead.
+        """
+        if response.asked_ms > now_ms:
+            return
         current = self._session_by_host.get(host)
         if current is not None and response.asked_ms < current.asked_ms:
             return
--- a/tests/test_fuzz_actions.py
+++ b/tests/test_fuzz_actions.py
@@ -5,7 +5,6 @@
 from collections import Counter, defaultdict
 from typing import NamedTuple
 
-import pytest
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import (
     Bundle,
@@ -397,4 +396,3 @@
     max_examples=120, stateful_step_count=40, derandomize=True
 )
 TestActions = ActionsMachine.TestCase
-TestActions.pytestmark = pytest.mark.known_red
