--- /dev/null
+++ b/review/standins2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of clients, back ends and the platform for the cases 6 to 10."""
