--- a/review/standins2/backend.py
+++ b/review/standins2/backend.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 import time
 from collections.abc import Callable
 from typing import NamedTuple
@@ -15,6 +17,7 @@
 HEARTBEAT_S = 1.2
 # An entry is removed after three heartbeat intervals of silence.
 SILENCE_S = 3.0 * HEARTBEAT_S
+FILLING_CONNECTIONS = 8
 
 
 class Arrival(NamedTuple):
@@ -52,6 +55,9 @@
         # Whether a request ends the back end that begins to run it.
         self.crashes: Callable[[str], bool] = lambda target: False
         self.restart_s = 3.0
+        # Whether its machine loses power when it ends: its connections fall silent.
+        self.ends_silently = False
+        self._held_sockets: list[socket.socket] = []
         self._store = store
         self._record = record
         self._server: asyncio.Server | None = None
@@ -106,14 +112,41 @@
         self._record.add(f"{self.name} ends")
         self._beating.cancel()
         self._server.close()
+        if self.ends_silently:
+            self._fall_silent()
+        else:
+            self._abort_connections()
+        self._restarting = asyncio.create_task(self._restart())
+
+    def _abort_connections(self) -> None:
         for writer in self._writers:
             writer.transport.abort()
         self._writers.clear()
-        self._restarting = asyncio.create_task(self._restart())
+
+    def _fall_silent(self) -> None:
+        """Keep connections open without a word; let new ones get no reply."""
+        for writer in self._writers:
+            writer.transport.pause_reading()
+        listening = socket.socket()
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind((self.ip, self.port))
+        listening.listen(0)
+        self._held_sockets.append(listening)
+        # The kernel accepts a few connections; beyond these it does not reply.
+        for _ in range(FILLING_CONNECTIONS):
+            filling = socket.socket()
+            filling.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                filling.connect((self.ip, self.port))
+            self._held_sockets.append(filling)
 
     async def _restart(self) -> None:
         ended_key = self.key
         await asyncio.sleep(self.restart_s)
+        self._abort_connections()
+        for held in self._held_sockets:
+            held.close()
+        self._held_sockets.clear()
         self._boots += 1
         self.name = f"{self._name}-{self._boots}"
         self.born = int(time.time() * 1_000)
