review: case 10, a request that crashes upstreams a while after its start

Cause: hosts wait 800 ms for the end of another host's attempt at such a request, and then send one beside it. Evidence: review/10, a script with three hosts against stand-ins.

--- a/review/standins2/backend.py
+++ b/review/standins2/backend.py
@@ -48,6 +48,8 @@
         self.slots = 16
         self.state = "ready"
         self.arrivals: list[Arrival] = []
+        # When it ended, in milliseconds of the record.
+        self.ends_ms: list[float] = []
         self.born = int(time.time() * 1_000)
         self.extra_headers: Callable[[], str] = lambda: ""
         # Whether a request is shed, as if all slots and the queue were taken.
@@ -55,6 +57,8 @@
         # Whether a request ends the back end that begins to run it.
         self.crashes: Callable[[str], bool] = lambda target: False
         self.restart_s = 3.0
+        # How long it runs such a request before it ends.
+        self.crash_after_s = 0.0
         # Whether its machine loses power when it ends: its connections fall silent.
         self.ends_silently = False
         self._held_sockets: list[socket.socket] = []
@@ -110,6 +114,7 @@
         assert self._server is not None
         assert self._beating is not None
         self._record.add(f"{self.name} ends")
+        self.ends_ms.append(self._record.now_ms)
         self._beating.cancel()
         self._server.close()
         if self.ends_silently:
@@ -182,6 +187,7 @@
             writer.close()
 
     async def _answer(self, request: Message, writer: asyncio.StreamWriter) -> None:
+        assert self._server is not None
         method, target, _ = request.first.split(" ")
         headers = request.headers
         request_id = headers.get("x-burdockmill-request-id", "")
@@ -213,8 +219,11 @@
             self._write(writer, "503 Service Unavailable", own)
             return
         if self.crashes(target):
-            self._record.add(f"{self.name} begins to run {request_id} {target}")
-            self.crash()
+            name = self.name
+            self._record.add(f"{name} begins to run {request_id} {target}")
+            await asyncio.sleep(self.crash_after_s)
+            if name == self.name and self._server.is_serving():
+                self.crash()
             return
         await asyncio.sleep(self.work_s)
         self.answered += 1
