--- a/review/8/run.py
+++ b/review/8/run.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 from pathlib import Path
 
 from review.standins2.client import ask
-from review.standins2.site import BOUNDS, ZONES, Site, has_trouble, route
+from review.standins2.site import BOUNDS, ZONES, Site, has_trouble, route, run_case
 from review.standins2.traffic import Traffic
 
 CASE = Path(__file__).parent
@@ -91,4 +90,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(run()))
+    run_case(run)
--- a/review/standins2/site.py
+++ b/review/standins2/site.py
@@ -4,9 +4,14 @@
 
 import asyncio
 import os
+import signal
+import sys
 import tempfile
+import traceback
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from types import TracebackType
+from typing import Any, NoReturn
 
 from review.standins2.addresses import loopback_ip
 from review.standins2.backend import Backend
@@ -41,6 +46,31 @@
 }
 
 
+# The exit status of a case that could not run.
+COULD_NOT_RUN = 2
+
+
+def run_case(run: Callable[[], Coroutine[Any, Any, int]]) -> NoReturn:
+    """Run a case and exit with its result; any error means that it could not run.
+
+    SIGTERM and SIGINT end the case and the processes that it started.
+    """
+
+    async def run_until_signal() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await run()
+
+    try:
+        status = asyncio.run(run_until_signal())
+    except BaseException:
+        traceback.print_exc()
+        status = COULD_NOT_RUN
+    sys.exit(status)
+
+
 def has_trouble() -> bool:
     """Return whether the disruption is to take place."""
     return os.environ.get("TROUBLE", "1") != "0"
