--- a/review/8/run.py
+++ b/review/8/run.py
@@ -1,4 +1,4 @@
-"""Kill all hosts after they have held back a request that ends back ends."""
+"""Let users at three hosts send a request that ends the back ends that run it."""
 
 from __future__ import annotations
 
@@ -13,34 +13,21 @@
 HOSTS = 3
 RATE = 20.0
 PATH = "/roster/deadly"
-# The same request comes again this often, before the kill and after it.
-ROUNDS = 5
-INTERVAL_S = 4.0
-RESTART_DELAY_S = 0.6
-# Back ends are all back, and hosts in touch again, this long after their start.
-SETTLE_S = 6.0
+# The same request comes again this often, once from a user of each host.
+ROUNDS = 4
+INTERVAL_S = 6.5
 # Retries that the rule allows after the third crash.
 RETRIES = 3
 CRASHES = 3
 
 
-async def send_rounds(site: Site) -> None:
-    """Let one user send the request to the same host several times."""
-    for _ in range(ROUNDS):
-        site.record.add(f"{PATH} is sent to {site.hosts[0].name}")
-        front = site.hosts[0].front
-        answer = await ask(site.record, front, "club.example", PATH, 2_000)
-        site.record.add(f"answered {answer.status}")
-        await asyncio.sleep(INTERVAL_S)
-
-
 async def run() -> int:
     """Return 1 if rule BUDGET was broken, else 0."""
     async with Site(CASE) as site:
         for service in ("clubroll", "junior"):
             for number, zone in enumerate(ZONES):
                 backend = await site.add_backend(f"{service}-{number}", service, zone)
-                backend.crashes = lambda target: target == PATH
+                backend.crashes = lambda target: has_trouble() and target == PATH
         site.configure(
             [
                 route("roster", "/roster/", service="clubroll"),
@@ -49,24 +36,27 @@
             ["clubroll", "junior"],
         )
         await site.start_hosts(HOSTS)
+        # No machine has been disturbed for `stable-window-ms`.
         await asyncio.sleep(BOUNDS["stable-window-ms"] / 1_000.0)
         traffic = Traffic(site.record, lambda: site.hosts, "/booking/", RATE)
-        sending = asyncio.create_task(
-            traffic.run(2 * ROUNDS * INTERVAL_S + SETTLE_S + 2.0)
-        )
-        await send_rounds(site)
-        if has_trouble():
-            site.record.add("all hosts are killed")
-            await asyncio.gather(*(host.kill() for host in site.hosts))
-            await asyncio.sleep(RESTART_DELAY_S)
-            await asyncio.gather(*(site.start_host(host) for host in site.hosts))
-        await asyncio.sleep(SETTLE_S)
-        await send_rounds(site)
+        statuses: list[int] = []
+        sending = asyncio.create_task(traffic.run(ROUNDS * INTERVAL_S))
+        for number in range(ROUNDS):
+            site.record.add(f"round {number + 1}: {PATH} at each host")
+            answers = await asyncio.gather(
+                *(
+                    ask(site.record, host.front, "club.example", PATH, 2_000)
+                    for host in site.hosts
+                )
+            )
+            statuses += [answer.status for answer in answers]
+            site.record.add(f"round {number + 1}: answered {statuses[-HOSTS:]}")
+            await asyncio.sleep(INTERVAL_S)
         await sending
-        return judge(site, traffic)
+        return judge(site, traffic, statuses)
 
 
-def judge(site: Site, traffic: Traffic) -> int:
+def judge(site: Site, traffic: Traffic, statuses: list[int]) -> int:
     """Return 1 if the request reached back ends too often after its third crash."""
     runs = sorted(
         (one.at_ms, one.backend, one.request_id)
@@ -78,8 +68,12 @@
         site.record.add(f"{request_id} reached {backend} at {at_ms:.0f}")
     served = sum(one.status == 200 for one in traffic.answers)
     site.record.add(f"{served} of {len(traffic.answers)} ordinary requests served")
-    if served < len(traffic.answers) / 2 or len(runs) < CRASHES:
+    if served < len(traffic.answers) / 2:
         return 2
+    if not has_trouble():
+        return 0 if set(statuses) == {200} else 2
+    if len(runs) < CRASHES:
+        return 0
     end_ms = runs[CRASHES - 1][0] + BOUNDS["stable-window-ms"]
     late = [one for one in runs if one[0] > end_ms]
     site.record.add(
--- /dev/null
+++ b/review/standins3/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for hosts that each reach the backends on a path of their own."""
