tests: guard what crowds of clients hold on to

Crowds of the client limits sent one pattern for four seconds.

All of them pass on the code as it stands, so they guard its state and mend nothing.

--- a/tests/builders_client_limits.py
+++ b/tests/builders_client_limits.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import os
+import zlib
 from pathlib import Path
 
-from tests.builders_platform_processes import HostProcess
+from tests.builders_platform_processes import OPERATOR_PORT, HostProcess
 
 BLOCK_BYTES = 65_536
 KILOBYTES_PER_MEGABYTE = 1_024
@@ -14,14 +15,33 @@
     b"X-Burdockmill-Request-Id: id-crowd\r\nX-Burdockmill-Deadline-Ms: 1000\r\n"
 )
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
-PIPELINED = HEAD.replace(b"POST", b"GET") + b"a:\r\n" * 3_900 + b"\r\n"
+GET = HEAD.replace(b"POST", b"GET")
+PIPELINED = GET + b"a:\r\n" * 3_900 + b"\r\n"
 DISTINCT = b"".join(b"%x:\r\n" % number for number in range(2_600))
+SEARCH = GET.replace(b"/fetch/", b"/overlap/")
+SWITCH = b"Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n"
 
 
 def blocks_of(unit):
     return unit * (BLOCK_BYTES // len(unit) + 1)
 
 
+def batch_of(body, headers=b""):
+    """Return a request of a peer with a body."""
+    size = b"Content-Length: %d\r\n" % len(body)
+    return (
+        b"POST /peer/v1/batch HTTP/1.1\r\nHost: x\r\n"
+        + size
+        + headers
+        + (b"\r\n" + body)
+    )
+
+
+def compressed(size_bytes):
+    packer = zlib.compressobj(9, wbits=31)
+    return packer.compress(bytes(size_bytes)) + packer.flush()
+
+
 # By client: what it sends first, and what it then repeats without end.
 CLIENTS = {
     "pipelined heads": (b"", PIPELINED * 4),
@@ -34,19 +54,47 @@
     "slow bodies": (HEAD + b"Content-Length: 9\r\n" + DISTINCT + b"\r\n", b""),
     "heads without end": (HEAD, blocks_of(b"a:\r\n")),
     "empty lines": (b"", blocks_of(b"\r\n")),
+    "upgrades": (GET + SWITCH, blocks_of(b"x" * 1_000)),
+    "tunnels": (HEAD.replace(b"POST", b"CONNECT") + b"\r\n", blocks_of(b"x" * 1_000)),
+    "unfinished bodies": (
+        HEAD + b"Content-Length: 200000\r\n\r\n" + b"x" * 190_000,
+        b"",
+    ),
+    "whole heads": (b"", (GET + DISTINCT + b"\r\n") * 4),
+    "whole searches": (b"", (SEARCH + DISTINCT + b"\r\n") * 4),
+    "plain requests": (b"", (GET + b"\r\n") * 50),
+    "compressed bodies": (
+        b"",
+        batch_of(compressed(48_000_000), b"Content-Encoding: gzip\r\n"),
+    ),
+    "many small messages": (
+        b"",
+        batch_of(b'{"sender":"x","probes":[' + b"0," * 4_000_000 + b"0]}"),
+    ),
+    "silent": (b"", b""),
+    "one byte": (b"G", b""),
+    "one empty line": (b"\r\n", b""),
+    "answered": (GET + b"\r\n", b""),
+    "begun body": (HEAD + b"Content-Length: 9\r\n\r\na", b""),
 }
 
 
 class SmallHost(HostProcess):
-    """Run a host whose settings state its memory."""
+    """Run a host whose settings state its memory and descriptors."""
 
-    def __init__(self, number, store, folder, memory_mb):
+    def __init__(self, number, store, folder, memory_mb, descriptors=4_096):
         super().__init__(number, store, folder)
         self.memory_mb = memory_mb
+        self.descriptors = descriptors
+
+    @property
+    def operator(self):
+        return f"{self.ip}:{OPERATOR_PORT}"
 
     def settings_text(self, seeds):
         text = super().settings_text(seeds)
-        return text.replace("memory-mb=300", f"memory-mb={self.memory_mb}")
+        limits = f"memory-mb={self.memory_mb}\nlimits.max-fds={self.descriptors}"
+        return text.replace("memory-mb=300", limits)
 
 
 class Crowd:
--- a/tests/builders_platform_processes.py
+++ b/tests/builders_platform_processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 import sys
 
@@ -28,6 +29,8 @@
         self.ip = loopback_ip_of(index)
         self.ingress, self.ready, self.peer = (free_address(index) for _ in range(3))
         self.environment = {}
+        # How many descriptors the process may open; None: as many as the test's.
+        self.process_limit = None
         self.grace_s = grace_s
         self._store = store
         self._path = folder / f"boot-{number}.conf"
@@ -48,6 +51,7 @@
                 **self.environment,
             },
             stdout=asyncio.subprocess.PIPE,
+            preexec_fn=self._limit_descriptors if self.process_limit else None,
         )
         self._reading = asyncio.create_task(self._read_lines())
         await until(lambda: self.logged("serves clients"), "it serves", START_LIMIT_S)
@@ -85,6 +89,10 @@
         async with ClientSession() as session, session.get(url) as response:
             return await response.json()
 
+    def _limit_descriptors(self):
+        limits = (self.process_limit, self.process_limit)
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
     async def _read_lines(self):
         async for line in self.process.stdout:
             self.lines.append(json.loads(line))
