Close idle connections when others need room

What callers saw: with 600 connections that send nothing, one byte, an empty line, one request or the beginning of a body, to a host that may open 256 descriptors, an ordinary request got 503 as long as they stayed, on whichever address they were: the readiness check failed, and peers and operators were refused. Where the settings state no descriptors, the crowd took all 256 and the listener could accept nothing at all. Crowds at four addresses at once took 538 descriptors of 256.

Cause: a surface that had all its connections refused every new one, and nothing closed one that had been idle for however long. Each of the four surfaces could take half of the descriptors that the settings state; the limit of the process itself was not read.

Change: a surface that is full closes the connection that its client has kept waiting for longest, and refuses only if none is idle. A body that is cut off for this is refused with 408: it has not been read, so nothing has run.

--- a/burdockmill/forwarding_node.py
+++ b/burdockmill/forwarding_node.py
@@ -19,6 +19,7 @@
 from burdockmill.clients.peer_client import PeerClient
 from burdockmill.clock import BootClock
 from burdockmill.decision_log import DecisionLog
+from burdockmill.descriptors import connections_limit
 from burdockmill.engine_pump import EnginePump
 from burdockmill.errors import StoppingError
 from burdockmill.fleet_core import make_fleet_engine
@@ -35,7 +36,7 @@
 from burdockmill.stop_steps import run_step, run_together
 from burdockmill.supervisor import Supervisor
 from burdockmill.surfaces._bounded_server import ServerBounds
-from burdockmill.surfaces._client_guard import client_guard_of, connections_limit_of
+from burdockmill.surfaces._client_guard import client_guard_of
 from burdockmill.surfaces.host_gateway import HostGateway
 from burdockmill.surfaces.ingress import Ingress, ready_app
 from burdockmill.surfaces.listener import Listener
@@ -324,8 +325,11 @@
         listening_socket: socket | None = None,
         header_limit: Callable[[], int] | None = None,
     ) -> None:
+        settings = self.settings
         bounds = ServerBounds(
-            connections_limit_of(self.settings),
+            connections_limit(
+                surface, settings.connections_limit, settings.descriptors_limit
+            ),
             partial(self.count_refusal, surface),
             header_limit=header_limit,
             guard=self.client_guard,
--- a/burdockmill/node.py
+++ b/burdockmill/node.py
@@ -23,6 +23,7 @@
 from burdockmill.clock import MonotonicClock
 from burdockmill.core import make_engine
 from burdockmill.decision_log import DecisionLog
+from burdockmill.descriptors import connections_limit
 from burdockmill.engine_pump import EnginePump
 from burdockmill.errors import BurdockmillError, StoppingError
 from burdockmill.messages.actions import Announce, SendToPeer
@@ -268,7 +269,7 @@
         self, surface: str, app: web.Application, address: Address
     ) -> Address:
         bounds = ServerBounds(
-            self.settings.connections_limit,
+            connections_limit(surface, self.settings.connections_limit),
             partial(self.count_refusal, surface),
         )
         listener = Listener(app, bounds)
--- a/burdockmill/policies/transfer_watch.py
+++ b/burdockmill/policies/transfer_watch.py
@@ -16,11 +16,14 @@
 
 
 class TransferWatch:
-    """Watch one direction of a connection."""
+    """Watch one direction of a connection.
+
+    `since_s` is when the transfer in progress was first seen, None if there is none.
+    """
 
     def __init__(self, limit: TransferLimit) -> None:
+        self.since_s: float | None = None
         self._limit = limit
-        self._since_s: float | None = None
         self._moved_before = 0
 
     def is_stalled(self, now_s: float, is_waiting: bool, moved_bytes: int) -> bool:
@@ -29,10 +32,10 @@
         `is_waiting` is whether the peer has still to send or to read.
         """
         if not is_waiting:
-            self._since_s = None
+            self.since_s = None
             return False
-        if self._since_s is None:
-            self._since_s, self._moved_before = now_s, moved_bytes
+        if self.since_s is None:
+            self.since_s, self._moved_before = now_s, moved_bytes
         moved = moved_bytes - self._moved_before
         allowed_s = self._limit.grace_s + moved / self._limit.least_per_s
-        return now_s - self._since_s > allowed_s
+        return now_s - self.since_s > allowed_s
--- a/burdockmill/surfaces/_bounded_handler.py
+++ b/burdockmill/surfaces/_bounded_handler.py
@@ -19,6 +19,7 @@
     SHORTEST_LINE_BYTES,
     lines_cost,
 )
+from burdockmill.policies.idle_order import Idle, IdleKind
 from burdockmill.policies.transfer_watch import TransferWatch
 from burdockmill.surfaces._paced_handler import PacedHandler
 from burdockmill.surfaces._refusals import (
@@ -34,6 +35,8 @@
 
 # A client sends its first request within this time of connecting.
 FIRST_REQUEST_SECONDS = 0.5
+# A client that was answered within this time may be about to send its next request.
+NEXT_REQUEST_SECONDS = 1.0
 CONNECTIONS_RETRY_AFTER_MS = 500
 # A path and all headers may each have the limit, and the rest of a head is short.
 HEAD_PARTS = 2
@@ -59,6 +62,8 @@
         self._server = server
         self._header_timer: asyncio.TimerHandle | None = None
         self._accepted_s = 0.0
+        # When the connection was accepted or its last request was answered.
+        self._idle_since_s = 0.0
         # The base class forgets its transport before the peer has read everything.
         self._wire: asyncio.Transport | None = None
         self._dropped_bytes = 0
@@ -81,6 +86,27 @@
         age_s = self._loop.time() - self._accepted_s
         return self._request_count > 0 or age_s > FIRST_REQUEST_SECONDS
 
+    @property
+    def idle(self) -> Idle | None:
+        """Return since when the client keeps the connection waiting, or None.
+
+        Requests and bodies have some time to arrive before that.
+        """
+        if self._force_close or self._close or self._wire is None:
+            return None
+        if self._is_answering:
+            since_s = None if self._is_received else self._sending.since_s
+            return None if since_s is None else Idle(IdleKind.BODY, since_s)
+        if self._wire.get_write_buffer_size() or (
+            self._is_received and not self.is_idle
+        ):
+            return None
+        if not self._request_count:
+            return Idle(IdleKind.FIRST_REQUEST, self._idle_since_s)
+        if self._loop.time() - self._idle_since_s < NEXT_REQUEST_SECONDS:
+            return None
+        return Idle(IdleKind.NEXT_REQUEST, self._idle_since_s)
+
     @property
     def has_next(self) -> bool:
         """Return whether another whole request head has already been received."""
@@ -91,9 +117,9 @@
         super().connection_made(transport)
         self._wire = cast("asyncio.Transport", transport)
         self._guard.add(self)
-        self._accepted_s = self._loop.time()
+        self._accepted_s = self._idle_since_s = self._loop.time()
         limit = self._bounds.connections_limit
-        if len(self._server.connections) > limit:
+        if len(self._server.connections) > limit and not self._server.make_room():
             error = OverloadedError(
                 f"The limit of {limit} connections is reached.",
                 retry_after_ms=CONNECTIONS_RETRY_AFTER_MS,
@@ -126,6 +152,14 @@
             self._guard.count("closed_slow_body")
             self._end_body(SlowRequestError("The body did not arrive in time."))
 
+    def give_way(self) -> None:
+        """Close the connection; refuse a request whose body is incomplete."""
+        if self._is_answering:
+            self._guard.count("closed_for_room")
+            self._end_body(SlowRequestError("The body did not arrive in time."))
+        else:
+            self._guard.close(self, "closed_for_room")
+
     def abort(self) -> None:
         """Close the connection at once; drop what was not sent."""
         self._pieces.clear()
@@ -151,6 +185,7 @@
         finally:
             self._written_bytes += request.writer.output_size
             self._writer = None
+            self._idle_since_s = self._loop.time()
             self._end_answer()
 
     def handle_error(
--- a/burdockmill/surfaces/_bounded_server.py
+++ b/burdockmill/surfaces/_bounded_server.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, NamedTuple, cast
 
 from aiohttp import web
 
+from burdockmill.policies.idle_order import IdleOrder
 from burdockmill.surfaces._bounded_handler import BoundedHandler
 from burdockmill.surfaces._client_guard import ClientGuard
 from burdockmill.surfaces._refusals import header_too_large, refusal_response
@@ -91,6 +92,7 @@
         )
         self.bounds = bounds
         self.guard = bounds.guard or ClientGuard()
+        self._idle_order: IdleOrder[BoundedHandler] = IdleOrder(lambda one: one.idle)
 
     def __call__(self) -> BoundedHandler:
         """Return the handler of a new connection."""
@@ -100,6 +102,15 @@
             limits = dict.fromkeys(PARSER_LIMITS, UNLIMITED)
         return BoundedHandler(self, loop=self._loop, **(self._kwargs | limits))
 
+    def make_room(self) -> bool:
+        """Close an idle connection; return False if there is none."""
+        handlers = cast("list[BoundedHandler]", self.connections)
+        idle = self._idle_order.take(handlers, self._loop.time())
+        if idle is None:
+            return False
+        idle.give_way()
+        return True
+
 
 def _head_bytes(request: web.BaseRequest) -> int:
     """Return the size of a request's path or of all its headers, if that is more."""
--- a/burdockmill/surfaces/_client_guard.py
+++ b/burdockmill/surfaces/_client_guard.py
@@ -23,8 +23,6 @@
 # Of the memory limit.
 PRESSED_SHARE = 0.5
 MILLISECONDS_PER_SECOND = 1_000
-# Of a process's descriptors, for the connections of one surface.
-DESCRIPTOR_SHARE = 0.5
 # Closed connections are logged together, at most this often.
 LOG_INTERVAL_S = 10.0
 
@@ -145,11 +143,3 @@
         settings.client_least_bytes_per_s,
     )
     return ClientGuard(GuardLimits(memory_bytes, transfer))
-
-
-def connections_limit_of(settings: ForwardingSettings) -> int:
-    """Return how many connections a surface takes; others need descriptors too."""
-    if not settings.descriptors_limit:
-        return settings.connections_limit
-    share = int(settings.descriptors_limit * DESCRIPTOR_SHARE)
-    return max(1, min(settings.connections_limit, share))
--- a/tests/test_client_crowds_processes.py
+++ b/tests/test_client_crowds_processes.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tests.builders_client_limits import Crowd, SmallHost, peaks_of
-from tests.builders_forwarding_node import Client
+from tests.builders_forwarding_node import Client, raw_answer
 from tests.builders_platform import (
     StandinStore,
     StandinUpstream,
@@ -116,6 +116,35 @@
         await site.check_after(("ingress", client, 600))
 
 
+@pytest.mark.parametrize("surface", SURFACES)
+@pytest.mark.parametrize(
+    "client", ["silent", "one byte", "one empty line", "answered", "begun body"]
+)
+async def test_a_crowd_that_waits_leaves_descriptors_to_others(
+    tmp_path, surface, client
+):
+    """An ordinary request is answered, and the host is ready, while it stays."""
+    async with Site(tmp_path, descriptors=DESCRIPTORS) as site:
+        async with Crowd(getattr(site.host, surface), client, 600):
+            seen = await site.peaks()
+            assert await site.answer() == 200
+            assert (await raw_answer(site.host.ready, READY)).status == 200
+            assert (await raw_answer(site.host.operator, STATUS)).status == 200
+            assert (await raw_answer(site.host.peer, EXPLAIN)).status == 200
+        site.check(seen)
+
+
+async def test_crowds_that_wait_at_all_surfaces(tmp_path):
+    async with Site(tmp_path, descriptors=DESCRIPTORS) as site:
+        async with AsyncExitStack() as stack:
+            for surface in SURFACES:
+                crowd = Crowd(getattr(site.host, surface), "silent", 300)
+                await stack.enter_async_context(crowd)
+            seen = await site.peaks()
+            assert await site.answer() == 200
+        site.check(seen)
+
+
 @pytest.mark.parametrize("client", ["pipelined heads", "one-byte chunks", "silent"])
 async def test_a_crowd_during_a_reload_and_a_planned_stop(tmp_path, client):
     async with Site(tmp_path) as site:
@@ -130,6 +159,19 @@
         assert site.host.logged("has stopped")
 
 
+async def test_a_crowd_that_waits_within_the_limit_of_the_process(tmp_path):
+    """The settings state more descriptors than the process may open."""
+    async with Site(tmp_path) as site:
+        await site.host.stop()
+        site.host.lines.clear()
+        site.host.process_limit = DESCRIPTORS
+        await site.host.start([site.host.peer])
+        async with Crowd(site.host.ingress, "silent", 600):
+            seen = await site.peaks()
+            assert await site.answer() == 200
+        assert seen[1] < DESCRIPTORS
+
+
 class Fleet(ProcessFleet):
     """Run a host of the project's own protocol in each failure domain."""
 
@@ -157,3 +199,14 @@
         assert host.process.returncode is None
         assert seen[0] <= SERVE_MEMORY_MB
         await fleet.check_answer(host)
+
+
+@pytest.mark.parametrize("surface", ["caller", "peer", "operator"])
+async def test_a_crowd_that_waits_at_a_host_of_the_own_protocol(tmp_path, surface):
+    async with Fleet(tmp_path, connections_limit=80) as fleet:
+        host = fleet.hosts[0]
+        async with Crowd(host.settings[f"{surface}_address"], "silent", 120):
+            await asyncio.sleep(1.0)
+            await fleet.check_answer(host)
+            assert (await fleet.status_of(host))["state"] == "ready"
+        assert host.process.returncode is None
