Count answers when their clients stop reading them

What callers saw: 200 connections that ask for answers of 500 KB and read nothing took a host of 100 MB to 370 MB. (Part of this has another cause.)

All of it stays in memory until its last byte is sent, twice: as the response's body, and joined with its head.

Change: an answer counts twice when the transport asks to pause writing.

--- a/burdockmill/surfaces/_bounded_handler.py
+++ b/burdockmill/surfaces/_bounded_handler.py
@@ -139,6 +139,11 @@
         if task is not None:
             task.add_done_callback(_free_frames)
 
+    def pause_writing(self) -> None:
+        """Count an answer that is larger than what its client takes at once."""
+        super().pause_writing()
+        self._record_held()
+
     def check_progress(self, now_s: float) -> None:
         """Close the connection if its peer neither sends its body nor reads."""
         self._cost = 0
@@ -265,9 +270,11 @@
             held += BODY_FACTOR * payload.total_bytes
             # Those that the handler has not read yet.
             held += CHUNK_COST_BYTES * len(payload._buffer)
-        if self._wire is not None:
-            held += self._wire.get_write_buffer_size()
-        self._guard.record(self, held)
+        unsent = 0 if self._wire is None else self._wire.get_write_buffer_size()
+        if unsent and self._writer is not None:
+            # All of an answer stays in memory until the last of it is sent.
+            unsent = BODY_FACTOR * self._writer.output_size
+        self._guard.record(self, held + unsent)
 
     def _run_timer(self) -> None:
         """Run the header timer while a head is incomplete."""
--- a/tests/test_client_guard.py
+++ b/tests/test_client_guard.py
@@ -96,6 +96,13 @@
         assert surface.ran < 50
 
 
+async def test_an_answer_counts_as_soon_as_its_client_does_not_read_it():
+    """It counted from the next sweep on, and without what was sent of it already."""
+    async with Surface() as surface:
+        await surface.send(GET.replace(b"/x", b"/x?9000000"))
+        await until(lambda: surface.guard.held_bytes > 2 * 9_000_000, "it counts", 3.0)
+
+
 async def test_nothing_is_parsed_behind_a_request_that_waits_for_its_answer():
     """Guards against many requests in memory for one that is not answered yet."""
     async with Surface() as surface:
