Refuse JSON bodies whose values would fill the memory

What callers saw: a connection that posts batches of 8 MB with 4,000,001 messages of one digit to the address for peers took a host of 100 MB to 417 MB, and each batch held the event loop for as long as its messages were tried one by one. (Part of this has another cause.)

Cause: a body counts twice its bytes, and a value of two bytes becomes an object of 55 bytes and more. Messages that cannot be decoded were each tried again, counted and listed in the reply, however many there were.

Change: commas and brackets outside of strings are counted before a body is decoded; values of more than half of the connections' memory, at 100 bytes each, are refused with 413. More than 4,096 messages are refused with 400: this build and send 256 at most. msgspec's own limit was tried: it is checked after the list was decoded (219 MB for this one).

The two cases of test_a_batch_of_more_messages_than_hosts_send_is_refused fail before.

--- a/burdockmill/surfaces/_batch_decoder.py
+++ b/burdockmill/surfaces/_batch_decoder.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any, NamedTuple, cast
+from typing import TYPE_CHECKING, Any, NamedTuple, cast
 
 import msgspec
 
@@ -11,6 +11,9 @@
 from burdockmill.messages.peer import PeerBatch
 from burdockmill.messages.tolerant_decoder import TolerantDecoder
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
 _MALFORMED = (msgspec.MsgspecError, UnicodeError, RecursionError)
 _BATCH_DECODER = msgspec.json.Decoder(PeerBatch)
 _FIELDS_DECODER = msgspec.json.Decoder(dict[str, msgspec.Raw])
@@ -22,6 +25,10 @@
 }
 
 
+# Hosts send 256 at most.
+MESSAGES_LIMIT = 4_096
+
+
 class DecodedBatch(NamedTuple):
     """Store the messages of a batch that could be decoded.
 
@@ -35,11 +42,16 @@
 
 
 def decode_batch(body: bytes) -> DecodedBatch:
-    """Return the messages of a batch; raise BadRequestError if it is none."""
+    """Return the messages of a batch; raise BadRequestError if it is none.
+
+    That is also one of more than MESSAGES_LIMIT messages.
+    """
     try:
-        return _named(DecodedBatch(_BATCH_DECODER.decode(body), {}))
+        batch = _BATCH_DECODER.decode(body)
     except _MALFORMED:
         return _named(_decode_each(body))
+    _check_count(cast("dict[str, list[Any]]", batch))
+    return _named(DecodedBatch(batch, {}))
 
 
 def _decode_each(body: bytes) -> DecodedBatch:
@@ -53,10 +65,13 @@
             batch["sender"] = _SENDER_DECODER.decode(fields["sender"])
     except _MALFORMED as error:
         raise BadRequestError(f"The batch is malformed: {error}.") from error
-    for field, decoder in _DECODER_BY_FIELD.items():
-        for index, item in enumerate(_items(fields.get(field))):
+    items_by_field = {field: _items(fields.get(field)) for field in _DECODER_BY_FIELD}
+    _check_count(items_by_field)
+    for field, items in items_by_field.items():
+        for index, item in enumerate(items):
             try:
-                batch.setdefault(field, []).append(decoder.decode(item))
+                decoded = _DECODER_BY_FIELD[field].decode(item)
+                batch.setdefault(field, []).append(decoded)
             except _MALFORMED as error:
                 put_aside.setdefault(field, []).append(index)
                 cause = cause or f"{field}: {error}"
@@ -73,6 +88,12 @@
         return [data]
 
 
+def _check_count(items_by_field: Mapping[str, Sequence[Any]]) -> None:
+    count = sum(len(items_by_field.get(field, ())) for field in _DECODER_BY_FIELD)
+    if count > MESSAGES_LIMIT:
+        raise BadRequestError(f"The batch has more than {MESSAGES_LIMIT} messages.")
+
+
 def _named(decoded: DecodedBatch) -> DecodedBatch:
     if not decoded.batch.get("sender"):
         raise BadRequestError("The batch has no sender.")
--- a/burdockmill/surfaces/_client_guard.py
+++ b/burdockmill/surfaces/_client_guard.py
@@ -8,7 +8,11 @@
 
 from loguru import logger
 
-from burdockmill.policies.connection_memory import ConnectionMemory, memory_limit
+from burdockmill.policies.connection_memory import (
+    DECODED_SHARE,
+    ConnectionMemory,
+    memory_limit,
+)
 from burdockmill.policies.transfer_watch import TransferLimit
 from burdockmill.surfaces._parse_turns import ParseTurns, TakesTurns
 
@@ -72,6 +76,11 @@
         """Return whether connections hold so much that all have to take turns."""
         return self._memory.held_bytes > self._memory.limit_bytes * PRESSED_SHARE
 
+    @property
+    def decoded_limit_bytes(self) -> float:
+        """Return how much the values of one body may hold once they are decoded."""
+        return self._memory.limit_bytes * DECODED_SHARE
+
     def add(self, connection: GuardedConnection) -> None:
         """Watch a new connection."""
         self._connections.add(connection)
--- a/burdockmill/surfaces/_paced_handler.py
+++ b/burdockmill/surfaces/_paced_handler.py
@@ -9,7 +9,11 @@
 from aiohttp.streams import EMPTY_PAYLOAD
 
 from burdockmill.errors import BadRequestError
-from burdockmill.policies.connection_memory import SHORTEST_LINE_BYTES, lines_cost
+from burdockmill.policies.connection_memory import (
+    SHORTEST_LINE_BYTES,
+    are_values_within,
+    lines_cost,
+)
 from burdockmill.policies.request_pieces import PIECE_BYTES, Phase, RequestPieces
 
 if TYPE_CHECKING:
@@ -84,6 +88,10 @@
         super().resume_writing()
         self._feed()
 
+    def can_decode(self, text: bytes) -> bool:
+        """Return whether the values of a JSON text are within their limit."""
+        return are_values_within(text, self._guard.decoded_limit_bytes)
+
     def take_turn(self) -> None:
         """Parse one part of what was received."""
         self._has_turn = False
--- a/burdockmill/surfaces/operator.py
+++ b/burdockmill/surfaces/operator.py
@@ -9,7 +9,7 @@
 
 from burdockmill.errors import BadRequestError
 from burdockmill.surfaces._http import error_middleware, health_routes, json_response
-from burdockmill.surfaces.body import read_body
+from burdockmill.surfaces.body import read_json
 
 if TYPE_CHECKING:
     from burdockmill.surfaces.host_gateway import HostGateway
@@ -41,7 +41,7 @@
         return json_response(gateway.status())
 
     async def block(request: web.Request) -> web.Response:
-        blocked = _decode_blocked(await read_body(request, BODY_LIMIT_BYTES))
+        blocked = _decode_blocked(await read_json(request, BODY_LIMIT_BYTES))
         gateway.block_hosts(frozenset(blocked["blocked_hosts"]))
         return json_response(blocked)
 
--- a/burdockmill/surfaces/peer.py
+++ b/burdockmill/surfaces/peer.py
@@ -14,7 +14,7 @@
 from burdockmill.messages.batch import BatchReply
 from burdockmill.surfaces._batch_decoder import decode_batch
 from burdockmill.surfaces._http import error_middleware, json_response
-from burdockmill.surfaces.body import read_body
+from burdockmill.surfaces.body import read_json
 
 if TYPE_CHECKING:
     from burdockmill.surfaces._batch_decoder import DecodedBatch
@@ -65,7 +65,7 @@
 
     async def receive_batch(request: web.Request) -> web.Response:
         check_peer_key(request, expected)
-        decoded = decode_batch(await read_body(request, BATCH_LIMIT_BYTES))
+        decoded = decode_batch(await read_json(request, BATCH_LIMIT_BYTES))
         reply = BatchReply(accepted=gateway.receive_batch(decoded.batch))
         if decoded.put_aside:
             put_aside_log.add(decoded)
--- a/burdockmill/surfaces/relay.py
+++ b/burdockmill/surfaces/relay.py
@@ -26,7 +26,7 @@
     reply_of,
 )
 from burdockmill.relay.upstream_facts import FACTS_HEADER, encode_facts
-from burdockmill.surfaces.body import read_body
+from burdockmill.surfaces.body import check_values, read_body
 from burdockmill.surfaces.peer import BATCH_LIMIT_BYTES, check_peer_key
 
 if TYPE_CHECKING:
@@ -67,7 +67,10 @@
     async def _handle(self, request: web.Request) -> web.Response:
         """Answer one request; its task is cancelled when its entry disconnects."""
         check_peer_key(request, self._peer_key)
-        relayed, body = decode_request(await read_body(request, BATCH_LIMIT_BYTES))
+        data = await read_body(request, BATCH_LIMIT_BYTES)
+        # What follows the first line is the client's body, as it was sent.
+        check_values(request, data.partition(b"\n")[0])
+        relayed, body = decode_request(data)
         waited_ms = _waited_ms(request.headers.get(WAITED_HEADER, "0"))
         forwarded = _forwarded(relayed, body, waited_ms, self._clock.now_ms())
         reason = reason_to_decline(
--- a/tests/test_batch_decoder.py
+++ b/tests/test_batch_decoder.py
@@ -15,7 +15,7 @@
 from burdockmill.messages.fleet import GossipUpdates, Probe, RelayUpdates
 from burdockmill.messages.peer import WorkCancel
 from burdockmill.relay.messages import RelayedRequest, decode_request
-from burdockmill.surfaces._batch_decoder import decode_batch
+from burdockmill.surfaces._batch_decoder import MESSAGES_LIMIT, decode_batch
 from burdockmill.surfaces.peer import PUT_ASIDE, peer_app
 from tests.builders_messages import example_batch, example_of
 from tests.builders_wire import make_rules
@@ -49,6 +49,14 @@
     assert messages_in(decoded.batch) == messages_in(read(BATCH).batch)
 
 
+@pytest.mark.parametrize("message", [[0.0], 0], ids=["valid", "malformed"])
+def test_a_batch_of_more_messages_than_hosts_send_is_refused(message):
+    messages = [message] * MESSAGES_LIMIT
+    assert read({"sender": "x", "session_asks": messages})
+    with pytest.raises(BadRequestError, match="more than 4096 messages"):
+        read({"sender": "x", "session_asks": [*messages, message]})
+
+
 def test_items_that_are_added_to_inner_messages_are_ignored():
     [probe] = BATCH["probes"]
     sender, updates = probe[0], probe[4]
--- a/tests/test_request_pieces.py
+++ b/tests/test_request_pieces.py
@@ -8,7 +8,9 @@
 from hypothesis import given, strategies as st
 
 from burdockmill.policies.connection_memory import (
+    VALUE_COST_BYTES,
     ConnectionMemory,
+    are_values_within,
     lines_cost,
     memory_limit,
 )
@@ -151,3 +153,17 @@
     assert not any(watch.is_stalled(s, True, 150 * s) for s in range(20))
     assert [watch.is_stalled(20.0 + s, True, 3_000) for s in (1, 11, 13)][-1]
     assert not watch.is_stalled(40.0, False, 0)
+
+
+@pytest.mark.parametrize(
+    ("text", "values"),
+    [
+        (b"[1,2,3]", 3),
+        (b"[[],[],{}]", 6),
+        (b'["a,b,c,[,{", "\\",[,"]', 2),
+        (b'{"a": "\\\\", "b": [1,2]}', 4),
+    ],
+)
+def test_values_are_counted_without_what_strings_have(text, values):
+    assert are_values_within(text, values * VALUE_COST_BYTES)
+    assert not are_values_within(text, values * VALUE_COST_BYTES - 1)
