Free refused requests without waiting for the garbage collector

What callers saw: each request that was refused or failed stayed in memory with its head and body until Python's cyclic garbage collector ran. One connection that posts batches of 8 MB to the address for peers, each refused, took a host of 100 MB to 360 MB: 28 such bodies were found at once. Five requests that an upstream rejected left five runs, five requests and five connections behind.

Cause: an error's traceback has the frames that it passed. The frame of the middleware kept the error in a variable; the run of a forwarded request keeps the error as its result, and the frames refer to the run. Few and large objects seldom start the collector.

Change: surfaces drop the traceback of an error once they have its response.

--- a/burdockmill/errors.py
+++ b/burdockmill/errors.py
@@ -284,3 +284,12 @@
     kind = "wrong_peer_key"
     status = 401
     remedy = "Set the same peer_key in the settings of all hosts."
+
+
+def free_frames(error: BaseException) -> None:
+    """Drop the traceback of an error that was handled.
+
+    Its frames refer to the error again and to the request that failed: without this
+    they stay until the cyclic garbage collector runs.
+    """
+    error.__traceback__ = None
--- a/burdockmill/surfaces/_http.py
+++ b/burdockmill/surfaces/_http.py
@@ -17,6 +17,7 @@
     MethodNotAllowedError,
     Ran,
     UnknownPathError,
+    free_frames,
 )
 
 if TYPE_CHECKING:
@@ -54,6 +55,7 @@
         try:
             response = await handler(request)
         except (BurdockmillError, web.HTTPException) as raised:
+            free_frames(raised)
             error = _as_burdockmill_error(request, raised)
             gateway.count_refusal(surface, error.kind)
             response = _refusal_response(raised, error, request_id)
--- a/burdockmill/surfaces/ingress.py
+++ b/burdockmill/surfaces/ingress.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from loguru import logger
 
-from burdockmill.errors import BurdockmillError, Ran, StoppingError
+from burdockmill.errors import BurdockmillError, Ran, StoppingError, free_frames
 from burdockmill.policies.late_admission import RETRY_AFTER_MS
 
 if TYPE_CHECKING:
@@ -71,6 +71,7 @@
             result = await self._forwarder.forward(forwarded)
             return self._codec.response(result)
         except BurdockmillError as error:
+            free_frames(error)
             return self._refusal_response(error, request_id)
         except asyncio.CancelledError:
             raise
--- a/burdockmill/surfaces/relay.py
+++ b/burdockmill/surfaces/relay.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 from loguru import logger
 
-from burdockmill.errors import BadRequestError, BurdockmillError, Ran
+from burdockmill.errors import BadRequestError, BurdockmillError, Ran, free_frames
 from burdockmill.forwarding.messages import ForwardedRequest
 from burdockmill.messages.actions import LogDecision
 from burdockmill.policies.relay_admission import reason_to_decline
@@ -111,6 +111,7 @@
                 forwarded, relayed.attempts_limit, facts
             )
         except BurdockmillError as error:
+            free_frames(error)
             if error.ran is Ran.NO and self._world.reach.is_isolated:
                 reason = "it has lost its upstreams"
                 return self._declined(relayed, reason), b""
--- a/tests/test_client_crowds_processes.py
+++ b/tests/test_client_crowds_processes.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.builders_client_limits import Crowd, SmallHost, peaks_of
+from tests.builders_client_limits import CLIENTS, Crowd, SmallHost, peaks_of
 from tests.builders_forwarding_node import Client, raw_answer
 from tests.builders_platform import (
     StandinStore,
@@ -95,7 +95,9 @@
 
 
 @pytest.mark.parametrize("surface", SURFACES)
-@pytest.mark.parametrize("client", ["upgrades", "tunnels", "compressed bodies"])
+@pytest.mark.parametrize(
+    "client", ["upgrades", "tunnels", "compressed bodies", "many small messages"]
+)
 async def test_a_crowd_whose_bodies_are_not_plain(tmp_path, surface, client):
     async with Site(tmp_path) as site:
         await site.check_after((surface, client, 24))
@@ -152,6 +154,14 @@
         site.check(seen)
 
 
+async def test_crowds_of_all_kinds_at_all_surfaces(tmp_path):
+    async with Site(tmp_path) as site:
+        crowds = [
+            (surface, client, 2) for client in sorted(CLIENTS) for surface in SURFACES
+        ]
+        await site.check_after(*crowds)
+
+
 async def test_one_crowd_after_another(tmp_path):
     async with Site(tmp_path) as site:
         for client in ("slow bodies", "one-byte chunks", "whole heads") * 2:
--- a/tests/test_forwarding_node.py
+++ b/tests/test_forwarding_node.py
@@ -1,11 +1,13 @@
 """Check forwarding hosts as clients, upstreams and operators see them."""
 
 import asyncio
+import gc
 import json
 import urllib.request
 
 import pytest
 
+from burdockmill.forwarding.request_run import RequestRun
 from tests.builders_addresses import free_address
 from tests.builders_forwarding_node import Site, until
 from tests.builders_platform import search_route, single_route
@@ -95,6 +97,26 @@
     assert body["ran"] == "no"
 
 
+async def test_a_refused_request_is_freed_without_garbage_collection(site):
+    """Its error's traceback had the request, and the request's run had the error."""
+
+    async def reject(self, request, writer):
+        extra = "X-Burdockmill-Not-Executed: 1\r\n"
+        writer.write(self.answer(request, b"", "503 Busy", extra))
+
+    def runs():
+        return [one for one in gc.get_objects() if isinstance(one, RequestRun)]
+
+    site.upstream_by_service["c"].script = reject
+    gc.collect()
+    gc.disable()
+    try:
+        assert (await site.client().ask("/fetch/x")).status == 503
+        await until(lambda: not runs(), "it is freed", 2.0)
+    finally:
+        gc.enable()
+
+
 async def test_a_service_that_asked_for_a_pause_is_refused_until_it_ends(site):
     upstream = site.upstream_by_service["c"]
 
