Look up no prefixes longer than a host's longest route

What callers saw: a request whose path is 16,000 slashes, inside the limit for heads, held the event loop for 21 ms, where a request of eight headers takes about 0.15 ms in all.

Cause: for each slash of a path, the path up to there was copied, hashed and looked up, so that a path cost its length squared.

Change: the search begins at the length of the longest prefix that the host has.

--- a/burdockmill/forwarding/routes.py
+++ b/burdockmill/forwarding/routes.py
@@ -88,21 +88,27 @@
         for route in routes:
             by_prefix = self._route_by_prefix_by_host.setdefault(route.host, {})
             by_prefix[route.prefix] = route
+        self._longest_by_host = {
+            host: max(map(len, by_prefix))
+            for host, by_prefix in self._route_by_prefix_by_host.items()
+        }
 
     def find(self, host: str, target: str) -> Route | None:
         """Return the route of a request target, or None if there is none."""
         by_prefix = self._route_by_prefix_by_host.get(host)
         if by_prefix is None:
             return None
-        for prefix in _prefixes(target.partition("?")[0]):
+        longest = self._longest_by_host[host]
+        for prefix in _prefixes(target.partition("?")[0], longest):
             route = by_prefix.get(prefix)
             if route is not None:
                 return route
         return None
 
 
-def _prefixes(path: str) -> Iterator[str]:
-    end = path.rfind("/")
+def _prefixes(path: str, longest: int) -> Iterator[str]:
+    """Yield what ends with a slash of a path's first characters, longest first."""
+    end = path.rfind("/", 0, longest)
     while end >= 0:
         yield path[: end + 1]
         end = path.rfind("/", 0, end)
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -10,6 +10,20 @@
 from tests.builders_forwarding import make_single_route
 
 
+class CountedPath(str):
+    """Count the characters that are copied out of a path."""
+
+    copied = 0
+
+    def partition(self, separator):
+        return self, "", ""
+
+    def __getitem__(self, key):
+        part = str(self)[key]
+        self.copied += len(part)
+        return part
+
+
 @pytest.fixture
 def index():
     return RouteIndex(
@@ -67,3 +81,9 @@
     assert Counter(choices.service_of(moved) for _ in range(400))["c"] == 300
     choices.keep(set())
     assert not choices._choice_by_route
+
+
+def test_a_path_of_slashes_costs_no_more_than_the_longest_prefix(index):
+    path = CountedPath("/" * 16_384)
+    assert index.find("leave.example", path) is None
+    assert path.copied <= len("/a/b/") ** 2
