Store no decisions on requests with long ids

What callers saw: 24 connections whose requests have ids of 14,000 characters, a new one each time, took a host of 100 MB to 95 MB, and it stayed there after they had gone. The same with paths, hosts, methods, credentials or header names takes it to 49 to 71 MB.

Cause: the decisions on the last 2,000 requests are stored by the requests' ids, whatever their size, and clients choose these. No limit depends on the machine's memory.

Change: decisions on requests whose ids have more than 256 characters are logged and counted as forgotten, and not stored for explanations. Ids of the platform have 16.

--- a/burdockmill/decision_log.py
+++ b/burdockmill/decision_log.py
@@ -15,6 +15,8 @@
 REQUESTS_LIMIT = 2_000
 DECISIONS_PER_REQUEST_LIMIT = 4_000
 DECISIONS_TOTAL_LIMIT = 50_000
+# Clients choose the ids of forwarded requests, as long as a head may be.
+STORED_ID_CHARS = 256
 # Disables the line limit, for hosts that log to a file.
 UNLIMITED_LINES = float("inf")
 MILLISECONDS_PER_SECOND = 1_000.0
@@ -56,7 +58,9 @@
         else:
             self._lines_left_out += 1
             self.counts["lines_left_out"] += 1
-        if action.request_id:
+        if len(action.request_id) > STORED_ID_CHARS:
+            self.counts["decisions_forgotten"] += 1
+        elif action.request_id:
             self._store(decision)
 
     def flush(self) -> None:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -8,6 +8,7 @@
 from burdockmill.decision_log import (
     DECISIONS_TOTAL_LIMIT,
     REQUESTS_LIMIT,
+    STORED_ID_CHARS,
     DecisionLog,
 )
 from burdockmill.logs import set_up_logs
@@ -96,3 +97,13 @@
     stored = sum(len(log.decisions_of(f"big{number}")) for number in range(requests))
     assert stored <= DECISIONS_TOTAL_LIMIT
     assert len(log.decisions_of(f"big{requests - 1}")) == decisions_per_request
+
+
+def test_decisions_on_requests_with_long_ids_are_logged_but_not_stored():
+    longest, longer = "x" * STORED_ID_CHARS, "x" * (STORED_ID_CHARS + 1)
+    log = DecisionLog()
+    for request_id in (longest, longer):
+        log.add(LogDecision("route", request_id, "u", "nearest"), 1.0)
+    assert [len(log.decisions_of(one)) for one in (longest, longer)] == [1, 0]
+    assert log.counts["decisions_forgotten"] == 1
+    assert any(longer in line for line in lines_of("json", log.flush))
