--- a/burdockmill/surfaces/_bounded_handler.py
+++ b/burdockmill/surfaces/_bounded_handler.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-from contextlib import suppress
 from typing import TYPE_CHECKING, Any, cast
 
 from aiohttp import web
@@ -32,6 +30,8 @@
 )
 
 if TYPE_CHECKING:
+    import asyncio
+
     from burdockmill.surfaces._bounded_server import BoundedServer
 
 # A client sends its first request within this time of connecting.
@@ -89,10 +89,7 @@
 
     @property
     def idle(self) -> Idle | None:
-        """Return since when the client keeps the connection waiting, or None.
-
-        Requests and bodies have some time to arrive before that.
-        """
+        """Return for what the connection has waited too long, and since when."""
         if self._force_close or self._close or self._wire is None:
             return None
         if self._is_answering:
@@ -132,12 +129,7 @@
         self._stop_timer()
         self._guard.remove(self)
         self._pieces.clear()
-        task = self._task_handler
         super().connection_lost(exc)
-        # It refers to this handler as well.
-        self._payload = None
-        if task is not None:
-            task.add_done_callback(_free_frames)
 
     def pause_writing(self) -> None:
         """Count an answer that is larger than what its client takes at once."""
@@ -304,14 +296,3 @@
         if self._header_timer is not None:
             self._header_timer.cancel()
             self._header_timer = None
-
-
-def _free_frames(task: asyncio.Task[None]) -> None:
-    """Free what the task of a closed connection had.
-
-    The task has the error that cancelled it, whose traceback has the task's frames. One
-    of their variables is the task itself, and others are the last request's head and
-    body: without this they stay until the cyclic garbage collector runs.
-    """
-    with suppress(asyncio.CancelledError):
-        task.exception()
--- a/burdockmill/surfaces/_paced_handler.py
+++ b/burdockmill/surfaces/_paced_handler.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any, cast
 
 from aiohttp import hdrs, web
@@ -17,8 +19,6 @@
 from burdockmill.policies.request_pieces import PIECE_BYTES, Phase, RequestPieces
 
 if TYPE_CHECKING:
-    import asyncio
-
     from aiohttp.streams import StreamReader
 
     from burdockmill.errors import BurdockmillError
@@ -55,6 +55,15 @@
         self._received_bytes = 0
         self._head_cost = 0
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Free what the connection had without waiting for the garbage collector."""
+        task = self._task_handler
+        super().connection_lost(exc)
+        # It refers to this handler as well.
+        self._payload = None
+        if task is not None:
+            task.add_done_callback(_free_frames)
+
     def data_received(self, data: bytes) -> None:
         """Give the parser what it may have now, and keep the rest."""
         if self._force_close or self._close:
@@ -202,3 +211,15 @@
 
     def _after_feed(self) -> None:
         """Count what the connection holds now."""
+
+
+def _free_frames(task: asyncio.Task[None]) -> None:
+    """Free what the cancelled task of a closed connection had.
+
+    The task has the error that cancelled it, whose traceback has the task's frames. One
+    of their variables is the task itself, and others are the last request's head and
+    body: without this they stay until the cyclic garbage collector runs.
+    """
+    if task.cancelled():
+        with suppress(asyncio.CancelledError):
+            task.exception()
