tests: guard crowds that send odd lines and large heads

Crowds of odd lines, of short and odd lines within the limit, of heads over it, and of a line and a path without end, at the addresses for clients and peers. The crowd of all kinds at all addresses has them as well.

--- a/tests/builders_client_limits.py
+++ b/tests/builders_client_limits.py
@@ -19,6 +19,9 @@
 PIPELINED = GET + b"a:\r\n" * 3_900 + b"\r\n"
 DISTINCT = b"".join(b"%x:\r\n" % number for number in range(2_600))
 SEARCH = GET.replace(b"/fetch/", b"/overlap/")
+# Folded, without a name, with a space before the colon, with bytes outside of ASCII,
+# with a carriage return inside, and with the end of a line alone.
+ODD_LINES = b"a: 1\r\n 2\r\n: x\r\nb : x\r\n\xff\xfe: \xff\r\nc: x\ry\r\nd: x\n" * 400
 SWITCH = b"Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n"
 
 
@@ -54,6 +57,12 @@
     "slow bodies": (HEAD + b"Content-Length: 9\r\n" + DISTINCT + b"\r\n", b""),
     "heads without end": (HEAD, blocks_of(b"a:\r\n")),
     "empty lines": (b"", blocks_of(b"\r\n")),
+    "odd lines": (b"", (GET + ODD_LINES + b"\r\n") * 8),
+    "short and odd lines": (b"", (GET + b"a:\r\n" * 3_000 + b" x\r\n" * 100) * 4),
+    "heads over the limit": (b"", (GET + b"a: " + b"x" * 20_000 + b"\r\n\r\n") * 4),
+    "far too large heads": (b"", (GET + b"a:\r\n" * 30_000 + b"\r\n") * 2),
+    "a line without end": (GET + b"a: ", blocks_of(b"x" * 1_000)),
+    "a path without end": (b"GET /fetch/", blocks_of(b"/" * 1_000)),
     "upgrades": (GET + SWITCH, blocks_of(b"x" * 1_000)),
     "tunnels": (HEAD.replace(b"POST", b"CONNECT") + b"\r\n", blocks_of(b"x" * 1_000)),
     "unfinished bodies": (
--- a/tests/test_client_crowds_processes.py
+++ b/tests/test_client_crowds_processes.py
@@ -103,6 +103,23 @@
         await site.check_after((surface, client, 24))
 
 
+@pytest.mark.parametrize("surface", ["ingress", "peer"])
+@pytest.mark.parametrize(
+    "client",
+    [
+        "odd lines",
+        "short and odd lines",
+        "heads over the limit",
+        "far too large heads",
+        "a line without end",
+        "a path without end",
+    ],
+)
+async def test_a_crowd_that_sends_odd_or_large_heads(tmp_path, surface, client):
+    async with Site(tmp_path) as site:
+        await site.check_after((surface, client, 24))
+
+
 @pytest.mark.parametrize("client", ["whole heads", "whole searches"])
 async def test_a_crowd_whose_requests_are_copied_for_slow_upstreams(tmp_path, client):
     """Each attempt has the headers of its request once more."""
