Ask for a restarted owner's run before an action is sent to it

Callers saw an action that had not run answered with its outcome unknown ("no_owner") right after a planned restart of its owner's host.

Cause: an entry host kept the session of the owner's earlier run for up to 10 s and sent the action to that run. The new run reports that it has no record. The entry answers "not run" only if the new run had started before the action was sent; it knows that from the report's uptime, less the time that the report took. A report that takes longer than the new run has been up proves nothing, and the answer stays "unknown".

The session is discarded when the host's member row has another incarnation: the host announces itself with a new one when it starts. The next action asks for the new run first, which is one round trip. A host that refutes a suspicion is asked again too.

The new test ends with "unknown" before and "yes" after.

--- a/burdockmill/systems/_owner_sessions.py
+++ b/burdockmill/systems/_owner_sessions.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from burdockmill.messages.peer import SessionResponse
     from burdockmill.names import HostId
+    from burdockmill.world import World
 
 SESSION_MAX_AGE_MS = 10_000.0
 SESSION_REFRESH_MS = 1_000.0
@@ -40,17 +41,26 @@
     def __init__(self) -> None:
         self._session_by_host: dict[HostId, Session] = {}
         self._requested_ms_by_host: dict[HostId, float] = {}
+        self._incarnation_by_host: dict[HostId, int] = {}
 
-    def find(self, host: HostId, now_ms: float) -> Session | None:
-        """Return a host's session; None if unknown or older than SESSION_MAX_AGE_MS."""
+    def find(self, world: World, host: HostId, now_ms: float) -> Session | None:
+        """Return a host's session; None if unknown or older than SESSION_MAX_AGE_MS.
+
+        It is discarded when the host announces itself again, as after a restart.
+        """
+        member = world.member_by_host.get(host)
+        incarnation = 0 if member is None else member.incarnation
+        if self._incarnation_by_host.get(host, incarnation) != incarnation:
+            self.discard(host)
+        self._incarnation_by_host[host] = incarnation
         session = self._session_by_host.get(host)
         if session is None or now_ms - session.received_ms > SESSION_MAX_AGE_MS:
             return None
         return session
 
-    def request_if_due(self, host: HostId, now_ms: float) -> list[Action]:
+    def request_if_due(self, world: World, host: HostId, now_ms: float) -> list[Action]:
         """Request a host's session unless it is fresh or was just requested."""
-        session = self.find(host, now_ms)
+        session = self.find(world, host, now_ms)
         if session is not None and now_ms - session.asked_ms < SESSION_REFRESH_MS:
             return []
         requested_ms = self._requested_ms_by_host.get(host)
--- a/burdockmill/systems/_ticket_handover.py
+++ b/burdockmill/systems/_ticket_handover.py
@@ -169,12 +169,12 @@
             world.counter_by_name["handovers_without_successor"] += 1
             self._store_by_run.clear()
             return []
-        session = self._sessions.find(host, now_ms)
+        session = self._sessions.find(world, host, now_ms)
         if session is None and now_ms < self._resend_at_ms:
             return []
         if session is None:
             self._resend_at_ms = now_ms + RESEND_INTERVAL_MS
-            return self._sessions.request_if_due(host, now_ms)
+            return self._sessions.request_if_due(world, host, now_ms)
         self._successor = TicketHolder(host, session.run_id)
         return self._send(world, now_ms)
 
--- a/burdockmill/systems/action_system.py
+++ b/burdockmill/systems/action_system.py
@@ -131,8 +131,8 @@
 
     def send(self, world: World, row: KeyedRow, now_ms: float) -> list[Action]:
         """Send the attempt to the owner's process run; ask first which run that is."""
-        session = self._sessions.find(row.owner, now_ms)
-        session_requests = self._sessions.request_if_due(row.owner, now_ms)
+        session = self._sessions.find(world, row.owner, now_ms)
+        session_requests = self._sessions.request_if_due(world, row.owner, now_ms)
         request_id = row.request.request_id
         if session is None:
             self._waiting_by_owner[row.owner].add(request_id)
--- a/burdockmill/systems/ticket_entry_system.py
+++ b/burdockmill/systems/ticket_entry_system.py
@@ -127,7 +127,7 @@
 
     def _send(self, world: World, row: TicketUseRow, now_ms: float) -> list[Action]:
         holder, request_id = row.holders[-1], row.request.request_id
-        session = self._sessions.find(holder.host, now_ms)
+        session = self._sessions.find(world, holder.host, now_ms)
         if session is not None and session.run_id != holder.run_id:
             # This session was requested after `started_ms` and names another process
             # run, so the holder's run has ended.
@@ -135,7 +135,7 @@
                 return self._give_up(world, request_id, Reason.TICKET_GONE)
             self._sessions.discard(holder.host)
             session = None
-        session_requests = self._sessions.request_if_due(holder.host, now_ms)
+        session_requests = self._sessions.request_if_due(world, holder.host, now_ms)
         if session is None:
             self._waiting_by_host.setdefault(holder.host, set()).add(request_id)
             return session_requests
--- a/tests/test_actions.py
+++ b/tests/test_actions.py
@@ -155,6 +155,20 @@
     assert ran_of(fleet, "again") == Ran.YES
 
 
+def test_action_right_after_its_owners_restart_is_sent_to_the_new_run():
+    fleet, tap = make_tapped_fleet()
+    send_one_action(fleet, tap)
+    start_host(fleet, OWNER, ("u1",))
+    fleet.run_until(fleet.clock.now_ms() + 1)
+    world = fleet.engine_by_host[ENTRY].world
+    world.member_by_host[OWNER] = world.member_by_host[OWNER]._replace(incarnation=1)
+    # The new run's report arrives later than the time for which that run has been up.
+    fleet._link.delay_ms = 20.0
+    request_action(fleet, ENTRY, "r")
+    fleet.run_until(fleet.clock.now_ms() + 400)
+    assert ran_of(fleet, "r") == Ran.YES
+
+
 def test_duplicate_at_the_owners_next_run_leaves_the_outcome_unknown():
     fleet, tap = make_tapped_fleet(upstreams=LoggingUpstreams(took_ms=30.0))
     send_one_action(fleet, tap)
--- a/tests/test_restarted_entries.py
+++ b/tests/test_restarted_entries.py
@@ -1,9 +1,12 @@
 """Replay fuzzed sequences in which a host restarts with its clock set back."""
 
+import random
+
 import pytest
 
 from burdockmill.messages.peer import SessionResponse
 from burdockmill.systems._owner_sessions import OwnerSessions
+from burdockmill.world import World
 from tests.test_fuzz_actions import NO_FAULTS, ActionsMachine, NetworkFaults
 
 LOSSY = NetworkFaults(lost=0.3, doubled=0.0, late_ms=0.0, reported=0.0)
@@ -99,8 +102,9 @@
 
 
 def test_a_reply_to_a_request_from_the_future_is_ignored():
+    world = World("h-1", "waw-a", random.Random(1))
     sessions = OwnerSessions()
     sessions.apply_response("h-2", SessionResponse("run", 50.5, 50.0), -39_912.5)
-    assert sessions.find("h-2", -39_912.0) is None
+    assert sessions.find(world, "h-2", -39_912.0) is None
     sessions.apply_response("h-2", SessionResponse("run", 88.0, -39_912.5), -39_912.0)
-    assert sessions.find("h-2", -39_912.0) is not None
+    assert sessions.find(world, "h-2", -39_912.0) is not None
