tests: guard crowds that trickle, and crowds during a start

Not tried before: heads, lines, empty lines and bodies of which a byte or a line arrives every 0.2 s, bodies that wait for 100 Continue, each from 600 connections with room for 256 descriptors, at each address; and a crowd that connects again and again while a host starts.

These guard the state.

--- a/tests/builders_client_limits.py
+++ b/tests/builders_client_limits.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import zlib
+from contextlib import suppress
 from pathlib import Path
 
 from tests.builders_platform_processes import OPERATOR_PORT, HostProcess
@@ -86,6 +87,18 @@
     "answered": (GET + b"\r\n", b""),
     "begun body": (HEAD + b"Content-Length: 9\r\n\r\na", b""),
 }
+# By client: what it sends first, and what it then sends once in TRICKLE_S.
+TRICKLES = {
+    "a trickled head": (GET + b"a: ", b"x"),
+    "trickled lines": (HEAD, b"a:\r\n"),
+    "trickled empty lines": (b"", b"\r\n"),
+    "a trickled body": (HEAD + b"Content-Length: 200000\r\n\r\n", b"x"),
+    "an expected body": (
+        HEAD + b"Content-Length: 200000\r\nExpect: 100-continue\r\n\r\n",
+        b"",
+    ),
+}
+TRICKLE_S = 0.2
 
 
 class SmallHost(HostProcess):
@@ -107,12 +120,17 @@
 
 
 class Crowd:
-    """Keep connections open that all send the same, whatever is answered."""
+    """Keep connections open that all send the same, whatever is answered.
 
-    def __init__(self, address, client, size, reads=True):
+    One that `returns` connects again whenever its connection has ended.
+    """
+
+    def __init__(self, address, client, size, reads=True, returns=False):
         self._address = address.split(":")
-        self._first, self._block = CLIENTS[client]
+        self._first, self._block = (CLIENTS | TRICKLES)[client]
+        self._pause_s = TRICKLE_S if client in TRICKLES else 0.0
         self._reads = reads
+        self._returns = returns
         self._size = size
         self._tasks = []
 
@@ -126,6 +144,14 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _run(self):
+        while True:
+            with suppress(OSError):
+                await self._send()
+            if not self._returns:
+                return
+            await asyncio.sleep(POLL_S)
+
+    async def _send(self):
         reader, writer = await asyncio.open_connection(*self._address)
         reading = asyncio.create_task(self._read(reader))
         try:
@@ -133,10 +159,8 @@
             while self._block:
                 writer.write(self._block)
                 await writer.drain()
-                await asyncio.sleep(0)
+                await asyncio.sleep(self._pause_s)
             await reading
-        except OSError:
-            pass
         finally:
             reading.cancel()
             writer.close()
--- a/tests/test_client_crowds_processes.py
+++ b/tests/test_client_crowds_processes.py
@@ -7,7 +7,13 @@
 
 import pytest
 
-from tests.builders_client_limits import CLIENTS, Crowd, SmallHost, peaks_of
+from tests.builders_client_limits import (
+    CLIENTS,
+    TRICKLES,
+    Crowd,
+    SmallHost,
+    peaks_of,
+)
 from tests.builders_forwarding_node import Client, raw_answer
 from tests.builders_platform import (
     StandinStore,
@@ -160,6 +166,19 @@
         site.check(seen)
 
 
+@pytest.mark.parametrize("surface", SURFACES)
+@pytest.mark.parametrize("client", sorted(TRICKLES))
+async def test_a_crowd_that_trickles_leaves_descriptors_to_others(
+    tmp_path, surface, client
+):
+    """An ordinary request is answered while it stays."""
+    async with Site(tmp_path, descriptors=DESCRIPTORS) as site:
+        async with Crowd(getattr(site.host, surface), client, 600):
+            seen = await site.peaks()
+            assert await site.answer() == 200
+        site.check(seen)
+
+
 async def test_crowds_that_wait_at_all_surfaces(tmp_path):
     async with Site(tmp_path, descriptors=DESCRIPTORS) as site:
         async with AsyncExitStack() as stack:
@@ -199,6 +218,17 @@
         assert site.host.logged("has stopped")
 
 
+@pytest.mark.parametrize("client", ["pipelined heads", "one-byte chunks", "silent"])
+async def test_a_crowd_during_a_start(tmp_path, client):
+    async with Site(tmp_path) as site:
+        await site.host.stop()
+        site.host.lines.clear()
+        async with Crowd(site.host.ingress, client, 60, returns=True):
+            await site.host.start([site.host.peer])
+            site.check(await site.peaks())
+        assert await site.answer() == 200
+
+
 async def test_a_crowd_that_waits_within_the_limit_of_the_process(tmp_path):
     """The settings state more descriptors than the process may open."""
     async with Site(tmp_path) as site:
