Log which code a host runs, and whether a handed-over request ran there

What on-call lacked: a report of a refused request that had run did not tell which of these held. The host ran another build than was thought, as while hosts are replaced; or the request was handed over, and the other host's outcome was taken for "not run". Logs named neither the code of a host nor what each hand-over said of the request.

`relays` in the line of an answer says of each hand-over whether the request ran there. A counter tells how many refusals were replaced as the request may have run (`handovers`, `refusals_replaced`).

--- a/burdockmill/_forwarding_reports.py
+++ b/burdockmill/_forwarding_reports.py
@@ -58,6 +58,7 @@
         return {
             "host": node.settings.host,
             "domain": node.settings.domain,
+            "code": node.code,
             "state": _state(node),
             "configuration": catalog.version,
             "store_era": catalog.era,
@@ -129,6 +130,8 @@
         metrics.set_event_counts("tokens", node.data_path.gate.counts)
         metrics.set_event_counts("reach", world.reach.counts)
         metrics.set_event_counts("relays", node.data_path.relay_client.counts)
+        handover_counts = node.data_path.forwarder.relay_planner.counts
+        metrics.set_event_counts("handovers", handover_counts)
         cost_counts = node.data_path.observations.costs.estimates.counts
         metrics.set_event_counts("costs", cost_counts)
         metrics.set_event_counts("gather", node.data_path.gather.counts)
--- a/burdockmill/forwarding/request_log.py
+++ b/burdockmill/forwarding/request_log.py
@@ -253,6 +253,7 @@
                 _since_received_ms(run.direct, row.sent_ms),
                 _rounded(row.took_ms),
                 row.outcome.end.value if row.outcome else "open",
+                f"ran: {row.ran.value}",
             ]
             for row in run.relays
         ]
--- a/burdockmill/forwarding_node.py
+++ b/burdockmill/forwarding_node.py
@@ -18,6 +18,7 @@
 from burdockmill.clients.catalog_reader import CatalogReader
 from burdockmill.clients.peer_client import PeerClient
 from burdockmill.clock import BootClock
+from burdockmill.code_digest import code_digest
 from burdockmill.decision_log import DecisionLog
 from burdockmill.descriptors import connections_limit
 from burdockmill.engine_pump import EnginePump
@@ -153,6 +154,8 @@
         self.listener_by_surface: dict[str, Listener] = {}
         self.supervisor = Supervisor(self.clock)
         self._settings_watch: SettingsWatcher | None = None
+        # The digest of this host's code, empty until it serves clients.
+        self.code = ""
 
     @property
     def host_settings(self) -> ForwardingSettings:
@@ -222,6 +225,7 @@
             self._created_ms - self._process_started_ms,
             self.clock.now_ms() - self._created_ms,
         )
+        await self._log_code()
 
     async def stop(self) -> None:
         """Finish the requests in progress within the grace time, then close."""
@@ -308,6 +312,15 @@
         """Count a refusal at a surface by the kind of its error."""
         self.metrics.count_refusal(surface, kind)
 
+    async def _log_code(self) -> None:
+        """Log which code runs: hosts of two builds may run side by side."""
+        try:
+            self.code = await asyncio.to_thread(code_digest)
+        except OSError as error:
+            logger.warning("node: the code on disk cannot be read: {}.", error)
+            return
+        logger.info("node: {} runs the code {}.", self.settings.host, self.code)
+
     async def _wait_for_catalog(self) -> None:
         end_ms = self.clock.now_ms() + CATALOG_WAIT_LIMIT_MS
         while not self.ready and self.clock.now_ms() < end_ms:
--- a/burdockmill/relay/handover_run.py
+++ b/burdockmill/relay/handover_run.py
@@ -283,6 +283,7 @@
         self.completed = True
         if failures.promises_not_run(conclusion.result) and self._may_have_run:
             has_lost = self.relays.has_lost
+            self._planner.counts["refusals_replaced"] += 1
             conclusion = Conclude(*failures.unkept(conclusion.result, has_lost))
         return [*(WithdrawRelay(row.number) for row in self.relays.open), conclusion]
 
--- a/burdockmill/relay/relay_rows.py
+++ b/burdockmill/relay/relay_rows.py
@@ -58,6 +58,16 @@
             return isinstance(result, BurdockmillError) and result.ran is Ran.NO
         return self.outcome.end is not RelayEnd.LOST
 
+    @property
+    def ran(self) -> Ran:
+        """Return whether the request has run at the host, as far as is known."""
+        if self.certainly_not_run:
+            return Ran.NO
+        result = None if self.outcome is None else self.outcome.result
+        if result is None or isinstance(result, BurdockmillError):
+            return Ran.UNKNOWN
+        return Ran.YES
+
 
 class RelayRows(list[RelayRow]):
     """Store the rows of one request, in the order in which it was handed over."""
--- a/tests/test_forwarding_node.py
+++ b/tests/test_forwarding_node.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from burdockmill.code_digest import code_digest
 from burdockmill.forwarding.request_run import RequestRun
 from tests.builders_addresses import free_address
 from tests.builders_forwarding_node import Site, until
@@ -365,6 +366,7 @@
     assert 'kind="search",outcome="complete"' in metrics
     status = json.loads(await asyncio.to_thread(fetch, "/v1/status"))
     assert (status["state"], status["configuration"]) == ("ready", 7)
+    assert status["code"] == code_digest()
     assert len(status["upstreams"]) == 3
     name = f"id-{id(client)}-1"
     explained = json.loads(await asyncio.to_thread(fetch, f"/v1/explain/{name}"))
