soak: watch refusals while hosts that took requests over are lost

A run with `--promises` cuts hosts off from all upstreams, or from those of one service, and kills, stops, freezes or cuts off from their peers the hosts that take the requests over, or their entries. Most requests may run once; some are at work when a host is lost. Every error that says `ran: no` counts as a promise, whatever its status and route.

Why: the soak had no host that is refused connections to one service while it hears from others, which is where an entry keeps a refusal of its own before it hands over, and few requests were at work when a host ended.

Two faults that overlapped opened the address of a proxy twice; opening is under a lock now.

--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,8 @@
 HOSTS ?= 3
 soak: venv
 	$(BIN)/python -m soak --seed $(SEED) --minutes $(MINUTES) --hosts $(HOSTS) \
-		$(if $(PREVIOUS),--previous $(PREVIOUS)) $(if $(HOSTILE),--hostile)
+		$(if $(PREVIOUS),--previous $(PREVIOUS)) $(if $(HOSTILE),--hostile) \
+		$(if $(PROMISES),--promises)
 
 measure: venv
 	$(BIN)/python -m measure
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,6 +14,7 @@
 from soak.checks import find_violations
 from soak.plan import RunOptions
 from soak.previous_build import PreviousBuild
+from soak.records import Route
 from soak.run import SoakRun
 
 MILLISECONDS_PER_MINUTE = 60_000.0
@@ -32,6 +33,9 @@
     hostile: Annotated[
         bool, typer.Option(help="Write odd entries, and spoil bytes between hosts.")
     ] = False,
+    promises: Annotated[
+        bool, typer.Option(help="Lose hosts that took over requests that may run once.")
+    ] = False,
     calm: Annotated[bool, typer.Option(help="Leave the seed's faults out.")] = False,
 ) -> None:
     """Run hosts as processes, put faults in, and list the rules that were broken."""
@@ -39,7 +43,7 @@
     folder.mkdir(parents=True, exist_ok=True)
     duration_ms = minutes * MILLISECONDS_PER_MINUTE
     with PreviousBuild(previous) if previous else nullcontext() as code:
-        options = RunOptions(code, calm, hostile)
+        options = RunOptions(code, calm, hostile, promises)
         run = SoakRun(seed, duration_ms, hosts, folder, options)
         print(run.site)
         for step in run.plan:
@@ -49,6 +53,8 @@
     print(
         f"{len(record.attempts)} attempts by status: {dict(statuses)}; logs: {folder}"
     )
+    refused = Counter(one.ran for one in record.attempts if one.route is Route.ONCE)
+    print(f"requests that may run once, by what their errors say: {dict(refused)}")
     violations = find_violations(record)
     for one in violations:
         print(one._replace(at_ms=one.at_ms - record.from_ms))
--- a/soak/check_answers.py
+++ b/soak/check_answers.py
@@ -13,6 +13,7 @@
 OK = 200
 # These statuses promise that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+NOT_RUN = "no"
 TOP_K = 10
 LEAST_COVERAGE = 0.5
 ATTEMPTS_LIMIT = 2
@@ -96,8 +97,12 @@
         attempt = sent[name]
         if attempt.route is Route.ONCE and len(runs) > 1:
             yield Violation("TWICE", runs[1].at_ms, f"{name} ran {len(runs)} times")
-        if attempt.route is Route.ONCE and attempt.status in NOT_RUN_STATUSES:
-            detail = f"{name} got {attempt.status} and ran"
+        is_refused = attempt.route is Route.ONCE and attempt.status in NOT_RUN_STATUSES
+        if is_refused or attempt.ran == NOT_RUN:
+            detail = (
+                f"{name} at host {attempt.host} got {attempt.status}, ran: "
+                f"{attempt.ran!r}, and ran at {[one.upstream for one in runs]}"
+            )
             yield Violation("REFUSED", attempt.ended_ms, detail)
         runs_by_service = Counter(one.service for one in runs)
         if max(runs_by_service.values()) > ATTEMPTS_LIMIT and not _is_excused(
--- a/soak/link_proxy.py
+++ b/soak/link_proxy.py
@@ -56,6 +56,8 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._changed = asyncio.Event()
+        # Faults that overlap do not open the address twice.
+        self._opening = asyncio.Lock()
         self._sockets: list[socket.socket] = []
         self._rng = random.Random(target)
 
@@ -78,11 +80,11 @@
         """Put a fault in, in place of the one that was there."""
         await self.heal()
         self._set(how)
-        if how in ("hang", "refuse"):
+        if how in ("hang", "refuse", "cut"):
             self._stop_listening()
         if how == "hang":
             self._sockets += fill_queue(self.address)
-        if how == "reset":
+        if how in ("reset", "cut"):
             self._abort_all()
         if how == "half_close":
             for writer in list(self._writers):
@@ -95,8 +97,9 @@
         for one in self._sockets:
             one.close()
         self._sockets.clear()
-        if self._server is None:
-            await self.open()
+        async with self._opening:
+            if self._server is None:
+                await self.open()
 
     def _set(self, how: str) -> None:
         self._how = how
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -48,12 +48,14 @@
 
     `previous` is the folder of an earlier build, by which hosts are replaced. A calm
     run has none of the seed's faults. A hostile one has entries of other writers and
-    spoiled bytes as well.
+    spoiled bytes as well. One that watches promises has, in place of the seed's faults,
+    cuts under which hosts that took requests over are lost.
     """
 
     previous: Path | None = None
     is_calm: bool = False
     is_hostile: bool = False
+    watches_promises: bool = False
 
 
 class Site(NamedTuple):
--- a/soak/records.py
+++ b/soak/records.py
@@ -19,7 +19,8 @@
 class ClientAttempt(NamedTuple):
     """A request that a client sent on a connection, and what came back.
 
-    `status` is 0 if no whole answer came. `left` is set if the client closed the
+    `status` is 0 if no whole answer came. `ran` is what an error says of whether the
+    request has run. `left` is set if the client closed the
     connection first, `is_proper` unless it broke the protocol on purpose.
     """
 
@@ -40,6 +41,7 @@
     left: bool = False
     is_proper: bool = True
     detail: str = ""
+    ran: str = ""
 
 
 class Arrival(NamedTuple):
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,8 +14,10 @@
 from soak.evacuations import Operator, draw_evacuations
 from soak.hostile_entries import write_entries
 from soak.hostile_plan import draw_hostile
+from soak.link_proxy import LinkProxy
 from soak.plan import QUIET_END_MS, RunOptions, Step, draw_plan, draw_site
 from soak.process_samples import sample_of
+from soak.promise_plan import draw_promises
 from soak.records import (
     Arrival,
     ClientAttempt,
@@ -27,7 +29,7 @@
     Suspicion,
 )
 from soak.routes import routes_of
-from soak.soak_client import SoakClient, now_ms
+from soak.soak_client import PROMISE_TRAFFIC, SoakClient, Traffic, now_ms
 from soak.soak_host import SoakHost
 from soak.soak_upstream import UpstreamPlace
 from soak.store_client import StoreClient
@@ -39,7 +41,6 @@
 SHARD_SETS = (("a", "b"), ("e", "f", "g"))
 MOVED_SERVICES = ("c", "d")
 SERVICES = ("a", "b", "e", "f", "g", "c", "d")
-CLIENTS_PER_HOST = 3
 SETTLE_S = 2.0
 SAMPLE_S = 1.0
 REWRITE_S = 0.3
@@ -60,16 +61,18 @@
     ) -> None:
         self.site = draw_site(seed)
         sizes = (duration_ms, hosts, len(SERVICES) * len(ZONES))
-        plan = () if options.is_calm else draw_plan(seed, *sizes)
+        draw = draw_promises if options.watches_promises else draw_plan
+        plan = () if options.is_calm else draw(seed, *sizes)
         if options.previous is not None:
             plan = (*plan, *draw_upgrade(seed, *sizes))
         if options.is_hostile:
             plan = (*plan, *draw_hostile(seed, duration_ms, hosts))
-        if not options.is_calm and options.previous is None:
+        if not (options.is_calm or options.watches_promises or options.previous):
             # Hosts of an earlier build may not follow evacuations.
             plan = (*plan, *draw_evacuations(seed, duration_ms, len(ZONES)))
         self.plan = tuple(sorted(plan))
         self._previous = options.previous
+        self._traffic = PROMISE_TRAFFIC if options.watches_promises else Traffic()
         self._seed = seed
         self._duration_ms = duration_ms
         self._store = StoreClient()
@@ -151,7 +154,7 @@
     def _start_clients(self, to_ms: float) -> list[asyncio.Task[None]]:
         clients = [
             self._client(f"c{number}")
-            for number in range(CLIENTS_PER_HOST * len(self._hosts))
+            for number in range(self._traffic.clients_per_host * len(self._hosts))
         ]
         return [asyncio.create_task(one.run(to_ms)) for one in clients]
 
@@ -162,6 +165,7 @@
             [host.clients.address for host in self._hosts],
             self._attempts.append,
             self._stray.append,
+            self._traffic,
         )
 
     def _suspicions(self) -> list[Suspicion]:
@@ -246,17 +250,26 @@
                 await self._restart_store(step)
 
     def _impair(self, step: Step, began_ms: float, host: int | None) -> None:
-        kind = f"{step.kind} {step.side}".strip()
+        side = "upstreams" if step.side in SERVICES else step.side
+        kind = f"{step.kind} {side}".strip()
         self._impairments.append(Impairment(began_ms, now_ms(), kind, host))
 
     async def _harm_links(self, step: Step) -> None:
         began_ms = now_ms()
-        proxies = self._hosts[step.number].proxies(step.side)
+        proxies = self._proxies_of(step)
         await asyncio.gather(*(one.harm(step.how) for one in proxies))
         await asyncio.sleep(step.for_ms / 1_000)
         await asyncio.gather(*(one.heal() for one in proxies))
         self._impair(step, began_ms, step.number)
 
+    def _proxies_of(self, step: Step) -> list[LinkProxy]:
+        """Return the proxies of one side of a host, or to one service's upstreams."""
+        host = self._hosts[step.number]
+        if step.side not in SERVICES:
+            return host.proxies(step.side)
+        proxies = zip(self._places, host.proxies("upstreams"), strict=True)
+        return [proxy for place, proxy in proxies if place.service == step.side]
+
     async def _end_host(self, step: Step) -> None:
         host = self._hosts[step.number]
         if host.is_busy:
--- a/soak/soak_client.py
+++ b/soak/soak_client.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import itertools
+import json
 import random
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
 from soak.records import ClientAttempt, Route
+from soak.upstream import WORK
 
+OK = 200
 HEAD_END = b"\r\n\r\n"
 PROMISES = frozenset({408, 421, 429, 503})
 TIME_LIMIT_MS_BY_ROUTE = {
@@ -31,6 +34,28 @@
 BROKEN = b"GET /overlap/x HTTP/1.1\r\nHost leave.example\r\n\r\n"
 
 
+class Traffic(NamedTuple):
+    """How often each route is asked, and what for.
+
+    A request that may run once has a time limit out of `once_limits_ms`, and is worked
+    on for a time out of `once_work_ms`; 0 is the usual time.
+    """
+
+    weight_by_route: Mapping[Route, float] = WEIGHT_BY_ROUTE
+    once_limits_ms: Sequence[float] = (TIME_LIMIT_MS_BY_ROUTE[Route.ONCE],)
+    once_work_ms: Sequence[int] = (0,)
+    clients_per_host: int = 3
+
+
+# Many requests that may run once, of which some are at work when a host is lost.
+PROMISE_TRAFFIC = Traffic(
+    {Route.ONCE: 12, Route.SINGLE: 2, Route.SEARCH: 2, Route.MOVED: 1},
+    (900.0, 2_000.0),
+    (0, 0, 50, 150, 600),
+    clients_per_host=6,
+)
+
+
 class Answer(NamedTuple):
     """A whole answer as it was read."""
 
@@ -45,6 +70,15 @@
         named = named or self.headers.get("x-burdockmill-server-stamp", [])
         return tuple(one.strip() for line in named for one in line.split(","))
 
+    @property
+    def ran(self) -> str:
+        """Return what an error says of whether its request has run, or nothing."""
+        try:
+            body = json.loads(self.body)
+        except ValueError:
+            return ""
+        return str(body.get("ran", "")) if isinstance(body, dict) else ""
+
     def number(self, name: str) -> float:
         """Return the number in a header, 0 if there is none."""
         return float(self.headers.get(name, ["0"])[0])
@@ -64,9 +98,13 @@
         addresses: Sequence[str],
         record: Callable[[ClientAttempt], None],
         record_stray: Callable[[str], None],
+        traffic: Traffic | None = None,
     ) -> None:
         self._name = name
+        self._traffic = traffic or Traffic()
         self._rng = random.Random(f"{seed} {name}")
+        # Drawn apart, so that the requests of a seed stay the same.
+        self._once_rng = random.Random(f"once {seed} {name}")
         self._addresses = addresses
         self._record = record
         self._record_stray = record_stray
@@ -84,19 +122,26 @@
     async def send_once(self, route: Route, target: str) -> None:
         """Send one request on a new connection, and record it."""
         self._close()
-        attempt, _ = await self._attempt(route, target, "whole", True)
+        limit_ms = TIME_LIMIT_MS_BY_ROUTE[route]
+        attempt, _ = await self._attempt(route, target, "whole", True, limit_ms)
         if attempt is not None:
             self._record(attempt)
 
     async def _ask(self) -> None:
-        route = self._rng.choices(
-            list(WEIGHT_BY_ROUTE), list(WEIGHT_BY_ROUTE.values())
-        )[0]
+        weights = self._traffic.weight_by_route
+        route = self._rng.choices(list(weights), list(weights.values()))[0]
         manners = list(WEIGHT_BY_MANNER)
         manner = self._rng.choices(manners, list(WEIGHT_BY_MANNER.values()))[0]
         target = f"{route.value}{self._name}-{next(self._numbers)}"
+        limit_ms = TIME_LIMIT_MS_BY_ROUTE[route]
+        if route is Route.ONCE:
+            limit_ms = self._once_rng.choice(self._traffic.once_limits_ms)
+            work_ms = self._once_rng.choice(self._traffic.once_work_ms)
+            target += f"{WORK}{work_ms}" if work_ms else ""
         for number in range(1 + RETRIES):
-            attempt, pause_s = await self._attempt(route, target, manner, number == 0)
+            attempt, pause_s = await self._attempt(
+                route, target, manner, number == 0, limit_ms
+            )
             if attempt is None:
                 return
             self._record(attempt)
@@ -108,7 +153,12 @@
             await asyncio.sleep(min(pause_s, attempt.time_limit_ms / 3_000))
 
     async def _attempt(
-        self, route: Route, target: str, manner: str, is_first: bool
+        self,
+        route: Route,
+        target: str,
+        manner: str,
+        is_first: bool,
+        limit_ms: float,
     ) -> tuple[ClientAttempt | None, float]:
         try:
             reader, writer = await self._connection()
@@ -122,7 +172,7 @@
             target=target,
             body=target.encode() * 3 if is_once else b"",
             host=self._host,
-            time_limit_ms=TIME_LIMIT_MS_BY_ROUTE[route],
+            time_limit_ms=limit_ms,
             sent_ms=now_ms(),
             ended_ms=0.0,
             is_first=is_first,
@@ -142,6 +192,7 @@
                 answer=answer.body,
                 stamps=answer.stamps,
                 missing=int(answer.number("x-burdockmill-parts-missing")),
+                ran=answer.ran if answer.status != OK else "",
             )
             pause_s = answer.number("retry-after")
             if "close" in answer.headers.get("connection", []):
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -2,7 +2,8 @@
 
 A line `leave` on its standard input makes it say that it is leaving; `limit 5` makes it
 name a limit of five requests a second, and reject those beyond it; `limit 0` ends that.
-A request whose target contains DEADLY ends the process.
+A request whose target contains DEADLY ends the process. WORK and a number at the end of
+a target are the milliseconds that the request takes; few of these are taken at once.
 """
 
 from __future__ import annotations
@@ -23,6 +24,9 @@
 RECORDS, RECORD_BYTES = 12, 16
 HEAD_END = b"\r\n\r\n"
 DEADLY = "deadly"
+WORK = "-work-"
+# How many requests that state their work run at once; others are rejected meanwhile.
+WORK_SLOTS = 24
 MILLISECONDS_PER_SECOND = 1_000
 
 
@@ -39,6 +43,12 @@
         """Return the id that its client gave it."""
         return self.headers.get("x-burdockmill-request-id", "")
 
+    @property
+    def work_ms(self) -> int | None:
+        """Return how long the request states that it takes, None if it does not."""
+        _, _, stated = self.target.partition(WORK)
+        return int(stated) if stated.isdigit() else None
+
 
 def answer_of(service: str, method: str, target: str, body: bytes) -> bytes:
     """Return the records of a service for a request; the same at each upstream."""
@@ -57,6 +67,7 @@
         self._is_leaving = False
         self._limit_per_s = 0
         self._taken_ms: deque[float] = deque()
+        self._working = 0
 
     async def run(self, address: str) -> None:
         """Serve until the process ends."""
@@ -89,7 +100,7 @@
                 if DEADLY in request.target and status is OK:
                     os._exit(1)
                 if status is OK:
-                    await asyncio.sleep(self._work_ms / MILLISECONDS_PER_SECOND)
+                    await self._work(request)
                 writer.write(self._answer(request, status))
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
@@ -97,10 +108,21 @@
         finally:
             writer.close()
 
+    async def _work(self, request: Request) -> None:
+        stated_ms = request.work_ms
+        self._working += stated_ms is not None
+        try:
+            work_ms = self._work_ms if stated_ms is None else stated_ms
+            await asyncio.sleep(work_ms / MILLISECONDS_PER_SECOND)
+        finally:
+            self._working -= stated_ms is not None
+
     def _status_of(self, request: Request) -> HTTPStatus:
         expected = request.headers.get("x-burdockmill-expect-instance", self._name)
         if expected != self._name:
             return HTTPStatus.MISDIRECTED_REQUEST
+        if request.work_ms is not None and self._working >= WORK_SLOTS:
+            return HTTPStatus.SERVICE_UNAVAILABLE
         return OK if self._takes_one_more() else HTTPStatus.TOO_MANY_REQUESTS
 
     def _takes_one_more(self) -> bool:
--- a/tests/builders_cut_fleet.py
+++ b/tests/builders_cut_fleet.py
@@ -8,6 +8,7 @@
 
 from burdockmill.forwarding.actions import Conclude, SendAttempt, WithdrawAttempt
 from burdockmill.forwarding.crash_guard import CrashGuard
+from burdockmill.forwarding.failures import promises_not_run
 from burdockmill.forwarding.merge_policy import GreatestRecords
 from burdockmill.forwarding.messages import AttemptEnd, AttemptOutcome
 from burdockmill.forwarding.reach_monitor import OpenAttempt, ReachMonitor
@@ -40,6 +41,7 @@
 from tests.builders_limited_upstreams import FAR_PATH_MS, NEAR_PATH_MS
 
 WORK_MS = 20.0
+GRACE_MS = 800.0
 CONNECT_TIMEOUT_MS = 300.0
 LINK_TEST_MS = 150.0
 LINK_TEST_INTERVAL_MS = 220.0
@@ -95,8 +97,12 @@
         seed=1,
         replicas=replicas_of,
         kept_connections=KEPT_CONNECTIONS,
+        work_ms=WORK_MS,
         **links,
     ):
+        self.work_ms = work_ms
+        # What told a client that its request has not run, by the request's id.
+        self.refusal_by_request = {}
         self.monitor_by_host = {}
         self.relay_planner_by_host = {}
         self.cut_by_host = {}
@@ -185,6 +191,27 @@
         self._at(at_ms, self._kill, host)
         return self
 
+    def stop(self, at_ms, host):
+        """Stop a host: it takes nothing over, and answers all once its time is up."""
+
+        def answer_all():
+            for run in list(self.open_runs[host].values()):
+                run.direct.answering.end_by(self.now_ms)
+                self._handle(host, run, run.tick(self.now_ms))
+
+        self._at(at_ms, self.stopping.add, host)
+        self._at(at_ms + GRACE_MS, answer_all)
+        return self
+
+    def untrue_refusals(self):
+        """Return the refusals as not run of requests that ran, before or after them."""
+        ran = {name for name, _ in self.runs}
+        return {
+            name: refusal
+            for name, refusal in self.refusal_by_request.items()
+            if name in ran
+        }
+
     def ask(self, rate_per_s, from_ms, to_ms, hosts=None):
         """Send requests to random hosts, first tries only."""
         hosts = list(hosts or self.domain_by_host)
@@ -292,6 +319,8 @@
         else:
             took_ms = self.now_ms - request.received_ms
             self.outcomes.append((request.received_ms, host, result, took_ms))
+            if promises_not_run(result):
+                self.refusal_by_request[request.request_id] = result
         for key in [key for key in self.attempts if key[3] is run]:
             self._withdraw(host, run, key[4])
 
@@ -340,7 +369,7 @@
         if self.cut_by_host.get(host) == "answers_lost":
             return
         stamp = f"{upstream.registration.upstream}/{name}"
-        back_ms = self.now_ms + WORK_MS + self._path_ms(host, upstream)
+        back_ms = self.now_ms + self.work_ms + self._path_ms(host, upstream)
         self._at(back_ms, self._answer, key, answered(record(1), stamp))
 
     def _answer(self, key, outcome):
@@ -515,6 +544,7 @@
             return
         if action.relay not in run.relay_endings:
             return
+        run.relay_written(action.relay)
         if host in self.virtual.paused:
             self._at(
                 self.now_ms + CHECK_INTERVAL_MS,
--- a/tests/test_hosts_without_upstreams.py
+++ b/tests/test_hosts_without_upstreams.py
@@ -2,6 +2,7 @@
 
 import itertools
 import math
+import random
 from collections import Counter
 
 import pytest
@@ -47,6 +48,17 @@
     return fleet.ask(rate_per_s, 3_000.0, TO_MS + 2_000.0).run(TO_MS + 5_000.0)
 
 
+def lose_host(fleet, how, at_ms, host):
+    """Kill or stop a host at a time, or freeze it for two seconds."""
+    if how == "kill":
+        fleet.kill(at_ms, host)
+    elif how == "freeze":
+        fleet._at(at_ms, fleet.virtual.paused.add, host)
+        fleet._at(at_ms + 2_000.0, fleet.virtual.resume, host)
+    else:
+        fleet.stop(at_ms, host)
+
+
 def assert_no_request_ran_more_often_than_allowed(fleet):
     limit = fleet.route.attempts_limit if fleet.route.is_idempotent else 1
     assert max(fleet.connected_runs.values(), default=0) <= limit
@@ -170,17 +182,11 @@
     fleet = CutFleet(ROUTES[kind])
     cut_hosts = hosts_of(fleet, "most of all")
     taker = next(one for one in fleet.domain_by_host if one not in cut_hosts)
-    at_ms = FROM_MS + 2_000.0
-    if step == "kill":
-        fleet.kill(at_ms, taker)
-    elif step == "freeze":
-        fleet._at(at_ms, fleet.virtual.paused.add, taker)
-        fleet._at(at_ms + 2_000.0, fleet.virtual.resume, taker)
-    else:
-        fleet._at(at_ms, fleet.stopping.add, taker)
+    lose_host(fleet, step, FROM_MS + 2_000.0, taker)
     play(fleet, cut_hosts, "hang")
     settled = (FROM_MS + SETTLED_MS, TO_MS)
     assert fleet.served_at(cut_hosts, *settled) >= 0.9
+    assert not fleet.untrue_refusals()
     assert_no_request_ran_more_often_than_allowed(fleet)
     assert_hops_are_sound(fleet)
 
@@ -207,6 +213,7 @@
     ),
 )
 def test_no_schedule_runs_a_request_twice_or_hands_it_on(kind, seed, schedule):
+    # Also fails where a request that ran is refused as not run.
     fleet = CutFleet(ROUTES[kind], seed=seed)
     hosts = list(fleet.domain_by_host)
     for after_ms, number, step in schedule:
@@ -222,10 +229,29 @@
         elif step == "wake":
             fleet._at(at_ms, fleet.virtual.resume, host)
         elif step == "stop":
-            fleet._at(at_ms, fleet.stopping.add, host)
+            fleet.stop(at_ms, host)
         else:
             domain = fleet.domain_by_host[host]
             fleet.end_upstreams(at_ms, lambda one, d=domain: one.domain == d, math.inf)
     fleet.ask(60.0, 3_000.0, 9_000.0).run(12_000.0)
     assert_no_request_ran_more_often_than_allowed(fleet)
     assert_hops_are_sound(fleet)
+    assert not fleet.untrue_refusals()
+
+
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("kind", ["single", "once"])
+def test_no_refusal_is_untrue_while_hosts_that_took_requests_over_are_lost(kind, seed):
+    # Fails where an entry refuses a request as not run that another host ran: two state
+    # machines joined, under cuts, kills, stops and freezes at random.
+    rng = random.Random(seed)
+    fleet = CutFleet(ROUTES[kind], seed=seed, work_ms=300.0)
+    hosts = rng.sample(sorted(fleet.domain_by_host), len(fleet.domain_by_host))
+    cut_hosts, others = hosts[:5], hosts[5:]
+    fleet.cut(FROM_MS, cut_hosts, rng.choice(CUTS)).cut(TO_MS, cut_hosts, None)
+    for host in rng.sample(others, 3) + rng.sample(cut_hosts, 1):
+        at_ms = rng.uniform(FROM_MS + SETTLED_MS, TO_MS)
+        lose_host(fleet, rng.choice(["kill", "freeze", "stop"]), at_ms, host)
+    fleet.ask(120.0, 3_000.0, TO_MS).run(TO_MS + 3_000.0)
+    assert len(fleet.hops) > 30
+    assert fleet.untrue_refusals() == {}
--- a/tests/test_link_proxy.py
+++ b/tests/test_link_proxy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from contextlib import suppress
 
 import pytest
 
@@ -66,6 +67,32 @@
     await proxy.close()
 
 
+@pytest.mark.parametrize(("how", "ended"), [("cut", 1), ("refuse", 0)])
+async def test_a_link_that_refuses_connections_ends_open_ones_only_if_cut(
+    endless, how, ended
+):
+    proxy = LinkProxy(free_address(), endless.address)
+    await proxy.open()
+    host, port = proxy.address.split(":")
+    reader, writer = await asyncio.open_connection(host, port)
+    await reader.readexactly(64)
+    await proxy.harm(how)
+    with pytest.raises(ConnectionRefusedError):
+        await asyncio.open_connection(host, port)
+    if ended:
+        async with asyncio.timeout(2.0):
+            with suppress(ConnectionResetError):
+                await reader.read()
+    else:
+        await reader.readexactly(len(BODY))
+    # Faults that overlap end one after the other.
+    await asyncio.gather(proxy.heal(), proxy.heal())
+    _, again = await asyncio.open_connection(host, port)
+    again.close()
+    writer.close()
+    await proxy.close()
+
+
 async def test_a_proxy_ends_when_the_reader_of_an_answer_is_gone(endless, caplog):
     proxy = Proxy(endless.address)
     await proxy.open()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,6 +19,7 @@
 from soak.hostile_plan import HOSTILE_ENTRIES, draw_hostile
 from soak.plan import QUIET_END_MS, draw_plan, draw_site
 from soak.previous_build import ROOT, PreviousBuild
+from soak.promise_plan import draw_promises
 from soak.records import (
     Configuration,
     Departure,
@@ -30,6 +31,7 @@
     Stop,
     Suspicion,
 )
+from soak.routes import ONCE_SERVICE
 from soak.upgrade_plan import CURRENT, MIXED_KINDS, PREVIOUS, draw_upgrade
 from tests.builders_soak import CONFIGURATION, RecordBuilder
 
@@ -95,6 +97,12 @@
     assert rules_of(builder) == {"REFUSED"}
 
 
+@pytest.mark.parametrize("route", [Route.ONCE, Route.SINGLE])
+def test_an_error_that_says_that_a_run_did_not_happen_is_found(builder, route):
+    builder.change(builder.first(route), status=504, ran="no")
+    assert rules_of(builder) == {"REFUSED"}
+
+
 def test_more_attempts_than_allowed_are_found(builder):
     for attempt in [one for one in builder.attempts if one.route is Route.SINGLE][:4]:
         for number in (1, 2):
@@ -256,6 +264,19 @@
     assert all(one.at_ms + one.for_ms <= 60_000.0 - 10_000.0 for one in plan)
 
 
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_hosts_are_lost_while_others_are_cut_off_from_their_upstreams(seed):
+    plan = draw_promises(seed, 60_000.0, 3, 14)
+    assert plan == draw_promises(seed, 60_000.0, 3, 14)
+    cuts = [one for one in plan if one.side in ("upstreams", ONCE_SERVICE)]
+    losses = [one for one in plan if one not in cuts]
+    assert {one.side for one in cuts} == {"upstreams", ONCE_SERVICE}
+    assert {"kill", "stop", "pause"} <= {one.kind for one in losses}
+    for loss in losses:
+        assert any(0 <= loss.at_ms - one.at_ms <= one.for_ms + 1 for one in cuts)
+    assert all(one.at_ms + one.for_ms <= 60_000.0 - QUIET_END_MS + 1 for one in plan)
+
+
 def test_a_previous_build_is_taken_from_the_history_and_removed():
     with PreviousBuild("HEAD") as folder:
         [*_, line] = (folder / "burdockmill" / "names.py").read_text().splitlines()
