Answer at once what may have run and cannot be sent again

What callers saw: a request that may run once, whose upstream had broken off while no upstream of its service was reached, was held up to 250 ms before its 502.

Cause: the run waited for reports of other hosts, to hand the request over to one that reaches the service, before it looked whether the request may go out at all.

Evidence: `test_a_request_that_may_have_run_once_does_not_wait_for_reports` fails before.

Change: what may have run of a request, here and elsewhere, is counted in a module of its own, `relay/possible_runs.py`; a failure waits for other hosts only if the request may still go out.

Cost: none for requests that have not run, or that may run again; they wait as before.

--- a/burdockmill/relay/handover_run.py
+++ b/burdockmill/relay/handover_run.py
@@ -19,6 +19,7 @@
     SendRelay,
     WithdrawRelay,
 )
+from burdockmill.relay.possible_runs import PossibleRuns
 from burdockmill.relay.relay_planner import Way
 from burdockmill.relay.relay_rows import RelayRow, RelayRows
 
@@ -50,6 +51,7 @@
         self.completed = False
         self.relays = RelayRows()
         self._planner = planner
+        self._runs = PossibleRuns(direct, self.relays, planner)
         self._services = tuple(part.service for part in direct.parts)
         self._may_hand_over = not direct.request.entry
         self._has_started_direct = False
@@ -191,7 +193,9 @@
         result = conclusion.result
         if isinstance(result, CrashingRequestError) or not self._may_hand_over:
             return False
-        return isinstance(result, BurdockmillError) and self._has_time(now_ms)
+        if not isinstance(result, BurdockmillError) or not self._has_time(now_ms):
+            return False
+        return self._runs.may_go_out
 
     def _leaves_direct(self, attempt: int, now_ms: float) -> bool:
         """Return whether a request that has not run anywhere need not try on here."""
@@ -199,7 +203,7 @@
             self._may_hand_over
             and self._planner.is_isolated
             and not self.direct.completed
-            and not self._direct_runs(but=attempt)
+            and not self._runs.from_here(but=attempt)
             and self._has_time(now_ms)
         )
 
@@ -215,14 +219,14 @@
         self._waits_until_ms = None
         if self._fallback is not None:
             return self._conclude(self._fallback)
-        if plan.way is Way.HERE and not self._may_have_run:
+        if plan.way is Way.HERE and not self._runs.may_have_run:
             return self._start_direct(now_ms)
         return self._refuse()
 
     def _hand_over(self, plan: RelayPlan, now_ms: float) -> list[HandoverAction]:
         number = len(self.relays)
         route = self.direct.route
-        attempts_limit = max(1, route.attempts_limit - self._runs_so_far())
+        attempts_limit = max(1, route.attempts_limit - self._runs.so_far())
         self.relays.append(RelayRow(number, plan.host, attempts_limit, now_ms))
         return [
             SendRelay(
@@ -237,11 +241,11 @@
 
     def _pay(self, now_ms: float) -> bool:
         """Return whether the request may go out once more, and pay for that."""
-        if not self._may_have_run:
+        if not self._runs.may_have_run:
             return True
-        route = self.direct.route
-        if not route.is_idempotent or self._runs_so_far() >= route.attempts_limit:
+        if not self._runs.may_go_out:
             return False
+        route = self.direct.route
         services = [
             part.service
             for part in self.direct.parts
@@ -249,22 +253,6 @@
         ]
         return self._planner.pay(services, route, now_ms)
 
-    @property
-    def _may_have_run(self) -> bool:
-        return not self.relays.certainly_not_run or self._direct_runs() > 0
-
-    def _runs_so_far(self) -> int:
-        """Return how many upstreams count for the limit of attempts at each part."""
-        direct = self._direct_runs()
-        if self._planner.is_isolated:
-            # Upstreams that this host does not reach have most likely not run anything.
-            direct = min(direct, self.direct.route.attempts_limit - 1)
-        return self.relays.possible_runs + direct
-
-    def _direct_runs(self, but: int | None = None) -> int:
-        """Return how many upstreams may run any part, not counting one attempt."""
-        return max(part.possible_runs_but(but) for part in self.direct.parts)
-
     def _has_time(self, now_ms: float) -> bool:
         return now_ms + MIN_RELAY_MS < self.direct.final_ms
 
@@ -274,14 +262,18 @@
         assert result is not None
         if not isinstance(result, BurdockmillError):
             self.direct.suspicion.answered_elsewhere(now_ms)
-        elif result.ran is Ran.NO and self._may_have_run and self._fallback is not None:
+        elif (
+            result.ran is Ran.NO
+            and self._runs.may_have_run
+            and self._fallback is not None
+        ):
             return self._conclude(self._fallback)
         return self._conclude(Conclude(result, f"by way of {row.host}"))
 
     def _conclude(self, conclusion: Conclude) -> list[HandoverAction]:
         """Answer the request; each refusal of one that was handed over passes here."""
         self.completed = True
-        if failures.promises_not_run(conclusion.result) and self._may_have_run:
+        if failures.promises_not_run(conclusion.result) and self._runs.may_have_run:
             has_lost = self.relays.has_lost
             self._planner.counts["refusals_replaced"] += 1
             conclusion = Conclude(*failures.unkept(conclusion.result, has_lost))
@@ -301,8 +293,8 @@
 
     def _give_up(self) -> list[HandoverAction]:
         """Answer a request that is out of time; a refusal from before may be true."""
-        if self._fallback is not None and not self._may_have_run:
+        if self._fallback is not None and not self._runs.may_have_run:
             return self._conclude(self._fallback)
-        ran = Ran.UNKNOWN if self._may_have_run else Ran.NO
+        ran = Ran.UNKNOWN if self._runs.may_have_run else Ran.NO
         error = DeadlineExceededError("No host answered in time.", ran=ran)
         return self._conclude(Conclude(error, "deadline"))
--- a/tests/test_handover_run.py
+++ b/tests/test_handover_run.py
@@ -283,6 +283,16 @@
     assert run.result.ran is Ran.UNKNOWN
 
 
+def test_a_request_that_may_have_run_once_does_not_wait_for_reports():
+    # Fails where a request that no host may run again is held until others report.
+    run = Handover(make_single_route(is_idempotent=False), is_isolated=False).start()
+    for one in replicas_of("payroll"):
+        run.reach.failed(one, ReachFailure.UNCONNECTED, 0.0)
+    run.ended(0, AttemptOutcome(AttemptEnd.BROKEN, is_cut_off=True), 20.0)
+    assert run.result.ran is Ran.UNKNOWN
+    assert not run.wanted
+
+
 def test_a_request_that_was_not_written_is_handed_over_without_a_repeat():
     run = Handover(make_single_route(is_idempotent=False), is_isolated=False).start()
     run.isolate(200.0)
