Withdraw no hand-over of a search that has ended

A search whose second strong host failed while the first was still being withdrawn met a KeyError in the loop's timer when the second was due to confirm, and had no answer until another event.

Cause: `GatheredRun.tick` withdrew the last hand-over without a look at its outcome.

Evidence: `test_a_host_that_has_ended_is_not_withdrawn` fails before.

Change: only a hand-over that is open is withdrawn; the search goes on in the next way.

--- a/burdockmill/relay/gathered_run.py
+++ b/burdockmill/relay/gathered_run.py
@@ -84,7 +84,11 @@
                 row = self.relays[-1]
                 self._gather.failed(row.host, now_ms)
                 self._gather.counts["not_confirmed"] += 1
-                return self._take_over(now_ms, [WithdrawRelay(row.number)])
+                # It may have ended while the host before it was still withdrawn.
+                withdrawals: list[HandoverAction] = []
+                if row.outcome is None:
+                    withdrawals.append(WithdrawRelay(row.number))
+                return self._take_over(now_ms, withdrawals)
         return super().tick(now_ms)
 
     def relay_ended(
--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -164,6 +164,18 @@
     assert len(of(SendAttempt, actions)) == 10
 
 
+def test_a_host_that_has_ended_is_not_withdrawn():
+    # Fails where a search stays without an answer, as a hand-over that has ended is
+    # withdrawn, which the host's loop takes for an error.
+    run, _ = Gathering().start()
+    late_ms = STARTED_MS + CONFIRM_WAIT_MS
+    run.tick(late_ms)
+    run.relay_ended(1, RelayOutcome(RelayEnd.NOT_SENT), late_ms + 1.0)
+    actions = run.tick(late_ms + CONFIRM_WAIT_MS)
+    assert not [one for one in actions if isinstance(one, WithdrawRelay)]
+    assert len([one for one in actions if isinstance(one, SendAttempt)]) == 10
+
+
 def test_a_search_that_is_not_confirmed_is_sent_from_here():
     run, _ = alone().start()
     assert run.next_due_ms == STARTED_MS + CONFIRM_WAIT_MS
