soak: excuse a stop that comes while the host stands still

Cause: a process that stands still cannot end in time and was to be excused, but only a freeze after the SIGTERM was. The check is as strict for all that runs: a host that was frozen and went on before the SIGTERM still has to end in time.

--- a/soak/soak_host.py
+++ b/soak/soak_host.py
@@ -55,7 +55,7 @@
         self.suspicions: list[tuple[float, str]] = []
         self._serving = asyncio.Event()
         self._code_that_runs = ""
-        self._is_paused_since_stop = False
+        self._is_paused = self._is_paused_since_stop = False
         self._process = ChildProcess(self._read)
 
     @property
@@ -103,6 +103,7 @@
         proxies = [*self.proxies("upstreams"), *self.proxies("peers")]
         proxy_by_address = {one.target: one.address for one in proxies}
         self._serving.clear()
+        self._is_paused = False
         code = self.code
         await self._process.start(
             "soak.host",
@@ -121,7 +122,7 @@
     async def stop(self) -> None:
         """Stop the process as planned work does."""
         self._process.is_end_expected = True
-        self._is_paused_since_stop = False
+        self._is_paused_since_stop = self._is_paused
         self.signal(signal.SIGTERM)
         began_ms = now_ms()
         has_ended = await self._process.wait(GRACE_S + END_SLACK_S)
@@ -145,7 +146,9 @@
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
-        self._is_paused_since_stop |= number is signal.SIGSTOP
+        if number in (signal.SIGSTOP, signal.SIGCONT):
+            self._is_paused = number is signal.SIGSTOP
+        self._is_paused_since_stop |= self._is_paused
         self._process.signal(number)
 
     def check_running(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import signal
 from contextlib import suppress
 
 import pytest
@@ -32,6 +33,7 @@
     Suspicion,
 )
 from soak.routes import ONCE_SERVICE
+from soak.soak_host import SoakHost
 from soak.upgrade_plan import CURRENT, MIXED_KINDS, PREVIOUS, draw_upgrade
 from tests.builders_soak import CONFIGURATION, RecordBuilder
 
@@ -336,6 +338,30 @@
     assert all(one.endswith(HEAD_END + b"body") for one in whole)
 
 
+@pytest.mark.parametrize(
+    ("signals", "ends"),
+    [
+        ([], ["host 0 outlived its grace time"]),
+        ([signal.SIGSTOP], []),
+        ([signal.SIGSTOP, signal.SIGCONT], ["host 0 outlived its grace time"]),
+    ],
+)
+async def test_only_a_host_that_stands_still_may_outlive_its_grace_time(
+    tmp_path, monkeypatch, signals, ends
+):
+    async def outlive(limit_s):
+        return False
+
+    found = []
+    host = SoakHost(0, tmp_path, found.append)
+    monkeypatch.setattr(host._process, "wait", outlive)
+    for number in signals:
+        host.signal(number)
+    await host.stop()
+    await host.close()
+    assert found == ends
+
+
 async def test_a_process_that_is_started_again_has_not_ended_by_itself():
     process = ChildProcess(lambda line: None)
     await process.start("this")
