--- a/soak/link_proxy.py
+++ b/soak/link_proxy.py
@@ -56,8 +56,8 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._changed = asyncio.Event()
-        # Faults that overlap do not open the address twice.
-        self._opening = asyncio.Lock()
+        # Faults that overlap are put in and taken out one after the other.
+        self._changing = asyncio.Lock()
         self._sockets: list[socket.socket] = []
         self._rng = random.Random(target)
 
@@ -78,7 +78,16 @@
 
     async def harm(self, how: str) -> None:
         """Put a fault in, in place of the one that was there."""
-        await self.heal()
+        async with self._changing:
+            await self._heal()
+            self._put_in(how)
+
+    async def heal(self) -> None:
+        """Take the fault out."""
+        async with self._changing:
+            await self._heal()
+
+    def _put_in(self, how: str) -> None:
         self._set(how)
         if how in ("hang", "refuse", "cut"):
             self._stop_listening()
@@ -91,15 +100,13 @@
                 with suppress(OSError, RuntimeError):
                     writer.write_eof()
 
-    async def heal(self) -> None:
-        """Take the fault out."""
+    async def _heal(self) -> None:
         self._set("")
         for one in self._sockets:
             one.close()
         self._sockets.clear()
-        async with self._opening:
-            if self._server is None:
-                await self.open()
+        if self._server is None:
+            await self.open()
 
     def _set(self, how: str) -> None:
         self._how = how
--- a/soak/promise_plan.py
+++ b/soak/promise_plan.py
@@ -11,19 +11,21 @@
 from soak.plan import QUIET_END_MS, QUIET_START_MS, Step
 from soak.routes import ONCE_SERVICE
 
-MEAN_GAP_MS = 1_200.0
+MEAN_GAP_MS = 1_500.0
 # What is sent over connections that remain open may have run.
 CUT_KINDS = ("refuse", "cut", "reset", "hang", "one_way", "half_close")
-CUT_WEIGHTS = (3.0, 3.0, 1.0, 2.0, 1.0, 1.0)
+CUT_WEIGHTS = (2.0, 6.0, 1.0, 1.0, 1.0, 1.0)
 # A host that still hears from other services is refused before it hands over.
-ONCE_CHANCE = 0.7
-CUT_LEAST_MS, CUT_MOST_MS = 300.0, 4_000.0
+ONCE_CHANCE = 0.8
+# One host that is left takes all requests over.
+ALL_BUT_ONE_CHANCE = 0.6
+CUT_LEAST_MS, CUT_MOST_MS = 500.0, 3_000.0
 # Of the hosts that are cut off, and of the others.
 LOSS_KINDS = ("kill", "stop", "pause", "peers", "upstream_kill", "upstream_pause")
-LOSS_WEIGHTS = (4.0, 2.0, 3.0, 2.0, 1.0, 1.0)
+LOSS_WEIGHTS = (6.0, 2.0, 3.0, 2.0, 1.0, 1.0)
 LOSS_LEAST_MS, LOSS_MOST_MS = 50.0, 2_500.0
 PEER_FAULTS = ("reset", "hang", "one_way", "half_close", "refuse")
-ENTRY_CHANCE = 0.25
+ENTRY_CHANCE = 0.2
 SECOND_LOSS_CHANCE = 0.35
 
 
@@ -36,7 +38,9 @@
     steps: list[Step] = []
     at_ms = QUIET_START_MS
     while at_ms < last_ms:
-        cut = rng.sample(range(hosts), rng.randint(1, hosts - 1))
+        is_one_left = rng.random() < ALL_BUT_ONE_CHANCE
+        count = hosts - 1 if is_one_left else rng.randint(1, hosts - 1)
+        cut = rng.sample(range(hosts), count)
         [how] = rng.choices(CUT_KINDS, CUT_WEIGHTS)
         for_ms = rng.uniform(CUT_LEAST_MS, CUT_MOST_MS)
         side = ONCE_SERVICE if rng.random() < ONCE_CHANCE else "upstreams"
--- a/soak/soak_client.py
+++ b/soak/soak_client.py
@@ -51,7 +51,7 @@
 PROMISE_TRAFFIC = Traffic(
     {Route.ONCE: 12, Route.SINGLE: 2, Route.SEARCH: 2, Route.MOVED: 1},
     (900.0, 2_000.0),
-    (0, 0, 50, 150, 600),
+    (0, 100, 300, 600),
     clients_per_host=6,
 )
 
--- a/tests/test_link_proxy.py
+++ b/tests/test_link_proxy.py
@@ -86,7 +86,7 @@
     else:
         await reader.readexactly(len(BODY))
     # Faults that overlap end one after the other.
-    await asyncio.gather(proxy.heal(), proxy.heal())
+    await asyncio.gather(proxy.heal(), proxy.harm("hang"), proxy.heal())
     _, again = await asyncio.open_connection(host, port)
     again.close()
     writer.close()
