Give the start of a forwarding host a module of its own

The host's own row, the wait for a catalog and the lines that a start logs are in `_forwarding_start.py` now; nothing else changed.

--- a/burdockmill/forwarding_node.py
+++ b/burdockmill/forwarding_node.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
-import time
 from collections import Counter
 from functools import partial
 from typing import TYPE_CHECKING
@@ -13,12 +11,12 @@
 
 from burdockmill._forwarding_actions import ForwardingActions
 from burdockmill._forwarding_reports import ForwardingReports
+from burdockmill._forwarding_start import ForwardingStart
 from burdockmill._forwarding_stop import CLOSE_RESERVE_MS, ForwardingStop
 from burdockmill._line_writer import LineWriter
 from burdockmill.clients.catalog_reader import CatalogReader
 from burdockmill.clients.peer_client import PeerClient
 from burdockmill.clock import BootClock
-from burdockmill.code_digest import code_digest_in_steps
 from burdockmill.decision_log import DecisionLog
 from burdockmill.descriptors import connections_limit
 from burdockmill.engine_pump import EnginePump
@@ -45,7 +43,6 @@
 from burdockmill.surfaces.peer import peer_app
 from burdockmill.surfaces.relay import RelayServer
 from burdockmill.systems._ring import Ring
-from burdockmill.tables.rows import MemberRow
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -63,11 +60,6 @@
     from burdockmill.names import Address, HostId, RequestId
     from burdockmill.settings_watcher import SettingsWatcher
 
-MILLISECONDS_PER_SECOND = 1_000
-# Without a catalog after this time the ingress opens nevertheless, and clients are
-# told that this host is not ready.
-CATALOG_WAIT_LIMIT_MS = 1_000.0
-CATALOG_POLL_MS = 5.0
 # A step of closing has at least this time, however late in the grace time it begins.
 CLOSING_LIMIT_MS = 100.0
 # The wait for open requests ends by itself; only later than that it is ended.
@@ -90,6 +82,7 @@
     ) -> None:
         self.settings = settings
         self.clock = clock or BootClock()
+        self._start = ForwardingStart(settings, self.clock, process_started_ms)
         self.metrics = Metrics(settings.host)
         self.counts: Counter[str] = Counter()
         self.decisions = DecisionLog(
@@ -98,8 +91,6 @@
         self.log_writer = log_writer
         self.source = source
         self._ingress_socket = ingress_socket
-        self._created_ms = self.clock.now_ms()
-        self._process_started_ms = process_started_ms or self._created_ms
         rng = random.Random()
         ring = Ring()
         self.engine = make_fleet_engine(
@@ -154,8 +145,6 @@
         self.listener_by_surface: dict[str, Listener] = {}
         self.supervisor = Supervisor(self.clock)
         self._settings_watch: SettingsWatcher | None = None
-        # The digest of this host's code, empty until it serves clients.
-        self.code = ""
 
     @property
     def host_settings(self) -> ForwardingSettings:
@@ -173,6 +162,11 @@
         """Return whether this host accepts new requests."""
         return self.engine.world.catalog.tables is not None and not self.stopping
 
+    @property
+    def code(self) -> str:
+        """Return the digest of this host's code, empty until it serves clients."""
+        return self._start.code
+
     @property
     def stopping(self) -> bool:
         """Return whether a planned stop has begun."""
@@ -187,25 +181,13 @@
         await self._open_listener(
             "operator", operator_app(self), settings.operator_address
         )
-        identity = (
-            settings.host,
-            settings.domain,
-            settings.region,
-            settings.peer_address,
-        )
-        started_ms = int(time.time() * MILLISECONDS_PER_SECOND)
-        own = MemberRow(
-            *identity,
-            incarnation=started_ms,
-            processor_cores=settings.processor_cores,
-        )
-        self.post(HostStarted(own, settings.seed_rows()))
+        self.post(HostStarted(self._start.own_row(), settings.seed_rows()))
         self.supervisor.start("store reader", self.reader.run, self.reader.time_left_ms)
         if self._settings_watch is not None:
             self.supervisor.start("settings watcher", self._settings_watch.run)
         self.supervisor.start("connection warmer", self.data_path.warmer.run)
         # A socket opened in advance queues clients in the kernel; none is refused.
-        await self._wait_for_catalog()
+        await self._start.wait_for_catalog(lambda: self.ready)
         await self._open_listener(
             "ingress",
             self.ingress.handle,
@@ -215,17 +197,7 @@
         )
         ready = ready_app(lambda: self.ready)
         await self._open_listener("ready", ready, settings.ready_address)
-        logger.info(
-            "node: {} of {} serves clients on {}, peers on {}; loading took {:.0f} ms "
-            "and the rest of the start {:.0f} ms.",
-            settings.host,
-            settings.domain,
-            settings.ingress_address,
-            settings.peer_address,
-            self._created_ms - self._process_started_ms,
-            self.clock.now_ms() - self._created_ms,
-        )
-        await self._log_code()
+        await self._start.log()
 
     async def stop(self) -> None:
         """Finish the requests in progress within the grace time, then close."""
@@ -312,20 +284,6 @@
         """Count a refusal at a surface by the kind of its error."""
         self.metrics.count_refusal(surface, kind)
 
-    async def _log_code(self) -> None:
-        """Log which code runs: hosts of two builds may run side by side."""
-        try:
-            self.code = await code_digest_in_steps()
-        except OSError as error:
-            logger.warning("node: the code on disk cannot be read: {}.", error)
-            return
-        logger.info("node: {} runs the code {}.", self.settings.host, self.code)
-
-    async def _wait_for_catalog(self) -> None:
-        end_ms = self.clock.now_ms() + CATALOG_WAIT_LIMIT_MS
-        while not self.ready and self.clock.now_ms() < end_ms:
-            await asyncio.sleep(CATALOG_POLL_MS / MILLISECONDS_PER_SECOND)
-
     def _closing_limit_ms(self, end_ms: float) -> float:
         """Return the limit of each of the two steps of closing before a clock time."""
         return max(CLOSING_LIMIT_MS, (end_ms - self.clock.now_ms()) / 2)
