tests: let two runs start loading hosts at the same time

Cause: its host takes 127.0.0.1:9464 for operators, as that address is in the settings that the test starts from; the other run's host held it, and the process ended.

Change: the host has a loopback address of its own run, as the other builders' hosts do. The checks are the same.

Evidence: six runs of the file at once: four failed before, none after.

--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -8,7 +8,11 @@
 
 import pytest
 
-from tests.builders_addresses import free_address
+from tests.builders_addresses import (
+    FREE_ADDRESS_INDEX,
+    free_address,
+    loopback_ip_of,
+)
 from tests.builders_forwarding_node import Client
 from tests.builders_platform import (
     SETTINGS,
@@ -28,7 +32,10 @@
     def __init__(self, folder, store):
         self.ingress = free_address()
         self.path = folder / "boot.conf"
-        text = SETTINGS.replace("127.0.0.1:8229", store.address)
+        # Operators' ports are the same on each address: another run may hold one.
+        ip = loopback_ip_of(FREE_ADDRESS_INDEX)
+        text = SETTINGS.replace("\nip=127.0.0.1", f"\nip={ip}")
+        text = text.replace("127.0.0.1:8229", store.address)
         text = text.replace("127.0.0.1:8226", self.ingress)
         for address in ("127.0.0.1:8224", "127.0.0.1:8227"):
             text = text.replace(address, free_address())
