Hold a large answer once while its client reads it

A host of 100 MB held up to 105 MB under clients that ask for large answers and do not read them: near its limit, where its process ends for all its clients.

Cause: aiohttp joins a head that is not sent yet with the body, so that the transport keeps a copy until the client has read it, beside the body that the response refers to.

Change: the head of an answer from 64 KiB on is sent on its own; uvloop writes both with one call. What connections are counted to hold stays as it is, since freed answers leave gaps: as many slow readers are kept as before.

--- a/burdockmill/surfaces/_bounded_handler.py
+++ b/burdockmill/surfaces/_bounded_handler.py
@@ -22,6 +22,7 @@
 )
 from burdockmill.policies.idle_order import Idle, IdleKind
 from burdockmill.policies.transfer_watch import TransferWatch
+from burdockmill.surfaces._large_answers import send_large_head
 from burdockmill.surfaces._paced_handler import PacedHandler
 from burdockmill.surfaces._refusals import (
     header_too_large,
@@ -95,9 +96,8 @@
         if self._is_answering:
             since_s = None if self._is_received else self._sending.since_s
             return None if since_s is None else Idle(IdleKind.BODY, since_s)
-        if self._wire.get_write_buffer_size() or (
-            self._is_received and not self.is_idle
-        ):
+        is_busy = self._is_received and not self.is_idle
+        if is_busy or self._wire.get_write_buffer_size():
             return None
         if not self._request_count:
             return Idle(IdleKind.FIRST_REQUEST, self._idle_since_s)
@@ -179,6 +179,7 @@
         """Write a response, or an internal error if its head cannot be written."""
         self._writer = request.writer
         try:
+            await send_large_head(request, resp)
             return await super().finish_response(request, resp, start_time)
         except Exception as error:
             if request.writer.output_size:
@@ -268,7 +269,8 @@
             held += CHUNK_COST_BYTES * len(payload._buffer)
         unsent = 0 if self._wire is None else self._wire.get_write_buffer_size()
         if unsent and self._writer is not None:
-            # All of an answer stays in memory until the last of it is sent.
+            # All of an answer stays in memory until the last of it is sent. Once freed,
+            # it leaves gaps that other answers do not fill.
             unsent = BODY_FACTOR * self._writer.output_size
         self._guard.record(self, held + unsent)
 
@@ -277,10 +279,8 @@
         if self._is_answering or not self._pieces.has_begun or self._force_close:
             self._stop_timer()
         elif self._header_timer is None:
-            wait_seconds = self._bounds.header_timeout_seconds
-            self._header_timer = self._loop.call_later(
-                wait_seconds, self._on_header_timeout
-            )
+            wait_s = self._bounds.header_timeout_seconds
+            self._header_timer = self._loop.call_later(wait_s, self._on_header_timeout)
 
     def _on_header_timeout(self) -> None:
         self._header_timer = None
--- a/tests/test_client_crowds_processes.py
+++ b/tests/test_client_crowds_processes.py
@@ -141,7 +141,6 @@
         await site.check_after(("ingress", client, 600))
 
 
-@pytest.mark.known_red
 async def test_a_crowd_that_reads_no_large_answers(tmp_path):
     async with Site(tmp_path) as site:
         for upstream in site.upstreams:
