--- a/soak/child_process.py
+++ b/soak/child_process.py
@@ -95,4 +95,6 @@
     async def _read(self, process: asyncio.subprocess.Process) -> None:
         assert process.stdout is not None
         async for line in process.stdout:
-            self._on_line(json.loads(line))
+            # Only the end of a process that was killed while it wrote has no newline.
+            if line.endswith(b"\n"):
+                self._on_line(json.loads(line))
