Take an entry without a start for a removal where others state theirs

Cause: an entry of another writer that lacks born was taken for another incarnation of the upstream, with a start of 0: ready, and free of what is known of the last one, such as notices, pauses and limits. Every other missing field makes an entry malformed.

Change: once any entry states a start, entries without one are departures in the catalog, whether they come from the store or from another host, and in whatever order. born may not simply be required: entries of some platforms never have it.

Cost: an upstream whose entry was replaced so gets nothing until its next report, as with any other damage.

--- a/burdockmill/platform/configuration.py
+++ b/burdockmill/platform/configuration.py
@@ -101,7 +101,7 @@
     # For how many more milliseconds the upstream is slow after its start.
     cold_left_ms: float
     seq_num: int
-    # The wall-clock time of the upstream's start, in milliseconds.
+    # The wall-clock time of the upstream's start, in milliseconds, 0 if not stated.
     born: _Number = 0
 
 
@@ -149,7 +149,7 @@
         min(max(1, entry.slots), SLOTS_LIMIT),
         entry.state == DRAINING,
         min(max(0.0, entry.cold_left_ms), COLD_LIMIT_MS),
-        entry.born,
+        max(0, entry.born),
     )
 
 
--- a/burdockmill/systems/catalog_system.py
+++ b/burdockmill/systems/catalog_system.py
@@ -209,6 +209,7 @@
             "configuration": catalog.version,
             "registered": change.upstreams,
             "departing": change.departing,
+            "without_start": catalog.starts.missing,
         }
         choice = f"catalog revision {catalog.revision} active"
         reason = "configuration changed" if change.tables else "registrations changed"
--- a/burdockmill/tables/catalog.py
+++ b/burdockmill/tables/catalog.py
@@ -8,6 +8,7 @@
 from burdockmill.messages.catalog import CatalogDelta, Departed, Registered
 from burdockmill.messages.store_position import StorePosition
 from burdockmill.tables.evacuations import Evacuations
+from burdockmill.tables.stated_starts import StatedStarts
 from burdockmill.tables.tables_delta import apply_tables_delta, compute_tables_delta
 
 if TYPE_CHECKING:
@@ -50,6 +51,7 @@
         self.upstreams_by_service: dict[ServiceId, dict[UpstreamId, Registration]] = {}
         self.removal_ms_by_upstream: dict[UpstreamId, float] = {}
         self.evacuations = Evacuations()
+        self.starts = StatedStarts()
         # Revisions of the registrations and of the recorded departures.
         self._revision_by_upstream: dict[UpstreamId, Revision] = {}
         self._departed_by_upstream: dict[UpstreamId, Revision] = {}
@@ -78,6 +80,7 @@
             if delta.era < self.era or not delta.is_whole:
                 return CatalogApplyResult()
             delta = self._start_era(delta, now_ms)
+        delta = self.starts.screen(delta)
         has_base = self._has_base(delta)
         tables = self._apply_tables(delta)
         if has_base:
@@ -255,9 +258,9 @@
     def _is_newer_departure(self, departure: Departed) -> bool:
         if departure.revision <= self._departed_by_upstream.get(departure.upstream, 0):
             return False
-        return departure.revision > self._revision_by_upstream.get(
-            departure.upstream, 0
-        )
+        registered_at = self._revision_by_upstream.get(departure.upstream, 0)
+        # At the same revision it is an entry that was registered unscreened before.
+        return departure.revision >= registered_at
 
     def _missing_upstreams(self, delta: CatalogDelta) -> list[Departed]:
         listed = {entry.registration.upstream for entry in delta.registered}
