Draw the first service of a split at random

Cause: a random number scaled the credits that a host started with, which leaves the service with the greatest credit the same at every host.

Change: each service takes its share of what those before it left over, from a random phase. The expected count of each service is right after any number of requests; the sequence of one host is as smooth as its test asked before.

--- a/burdockmill/forwarding/weighted_choice.py
+++ b/burdockmill/forwarding/weighted_choice.py
@@ -12,26 +12,34 @@
 
 
 class WeightedChoice:
-    """Distribute requests smoothly: every sequence of them is close to the weights."""
+    """Distribute requests smoothly: every sequence of them is close to the weights.
 
-    def __init__(self, services: tuple[WeightedService, ...], start: float) -> None:
-        total_weight = sum(one.weight for one in services) or 1.0
+    Each service in turn gets its share of the requests that those before it left over.
+    The phases are random, so that the chance of a service is its share from the first
+    request on: many hosts with few requests each follow the weights together.
+    """
+
+    def __init__(
+        self, services: tuple[WeightedService, ...], rng: random.Random
+    ) -> None:
         self.services = services
-        self._share_by_service = {
-            one.service: one.weight / total_weight for one in services
-        }
-        self._credit_by_service = {
-            service: share * start for service, share in self._share_by_service.items()
-        }
+        self._last = services[-1].service
+        left = sum(one.weight for one in services)
+        self._share_by_service: dict[ServiceId, float] = {}
+        for one in services[:-1]:
+            self._share_by_service[one.service] = one.weight / left if left else 0.0
+            left -= one.weight
+        self._phase_by_service = {one: rng.random() for one in self._share_by_service}
 
     def next(self) -> ServiceId:
         """Return the service of the next request."""
-        credit = self._credit_by_service
+        phases = self._phase_by_service
         for service, share in self._share_by_service.items():
-            credit[service] += share
-        chosen = max(credit, key=lambda service: credit[service])
-        credit[chosen] -= 1.0
-        return chosen
+            phases[service] += share
+            if phases[service] >= 1.0:
+                phases[service] -= 1.0
+                return service
+        return self._last
 
 
 class WeightedChoices:
@@ -47,9 +55,7 @@
             return route.services[0].service
         choice = self._choice_by_route.get(route.name)
         if choice is None or choice.services != route.services:
-            # Each host starts at a random offset, so that all hosts together follow the
-            # weights too.
-            choice = WeightedChoice(route.services, self._rng.random())
+            choice = WeightedChoice(route.services, self._rng)
             self._choice_by_route[route.name] = choice
         return choice.next()
 
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -71,6 +71,27 @@
         assert abs(counted["c"] - 10) <= 2
 
 
+# Guards against hosts that all send their first request to the same service.
+@pytest.mark.parametrize("weights", [(1, 1), (9, 1), (1, 9), (5, 3, 2), (0, 1)])
+@pytest.mark.parametrize(("hosts", "requests"), [(195, 200), (195, 400), (60, 300)])
+def test_many_hosts_with_few_requests_each_follow_the_weights(weights, hosts, requests):
+    services = tuple(
+        WeightedService(f"s-{number}", weight) for number, weight in enumerate(weights)
+    )
+    route = make_single_route(services=services)
+    counted = Counter()
+    draws = 20
+    for seed in range(draws):
+        rng = random.Random(seed)
+        choices = [WeightedChoices(random.Random(rng.random())) for _ in range(hosts)]
+        for _ in range(requests):
+            counted[rng.choice(choices).service_of(route)] += 1
+    for service in services:
+        share = counted[service.service] / (draws * requests)
+        # A part may be 0.2 off; the mean of all draws has a deviation below 0.008.
+        assert abs(share - service.weight / sum(weights)) <= 0.05
+
+
 def test_a_changed_split_starts_anew_and_a_removed_one_is_deleted():
     route = make_single_route(
         services=(WeightedService("a", 1), WeightedService("b", 1))
