Count the last bytes of an answer that is cut off for its size

Cause: bytes beyond the limit of one answer ended the exchange before they were added to the budget, and the end of the exchange discounted them.

Change: received bytes are added first, whatever comes of them.

--- a/burdockmill/clients/_reuse_checking_handler.py
+++ b/burdockmill/clients/_reuse_checking_handler.py
@@ -77,10 +77,12 @@
             self.close()
             return
         self._received_bytes += len(data)
+        # All of these bytes are discounted at the end, whatever comes of them.
+        has_room = self._budget.add(len(data), self._received_bytes)
         if self._received_bytes > OVERHEAD_LIMIT_BYTES + 2 * self.body_bytes:
             self._fail(WrongAnswerError("size"))
             return
-        if not self._budget.add(len(data), self._received_bytes):
+        if not has_room:
             self._fail(WrongAnswerError("size of all answers"))
             return
         if len(data) <= PIECE_BYTES:
--- a/burdockmill/clients/receive_budget.py
+++ b/burdockmill/clients/receive_budget.py
@@ -15,11 +15,14 @@
 
 
 class ReceiveBudget:
-    """Count the bytes that upstreams have sent in exchanges that are not over."""
+    """Count the bytes that upstreams have sent in exchanges that are not over.
+
+    `received_bytes` is how many these are.
+    """
 
     def __init__(self, limit_bytes: int = RECEIVING_LIMIT_BYTES) -> None:
         self._limit_bytes = limit_bytes
-        self._received_bytes = 0
+        self.received_bytes = 0
 
     @classmethod
     def of_memory(cls, memory_mb: float) -> ReceiveBudget:
@@ -34,13 +37,13 @@
 
         `exchange_bytes` is what it has received with them.
         """
-        self._received_bytes += size_bytes
-        if self._received_bytes <= self._limit_bytes:
+        self.received_bytes += size_bytes
+        if self.received_bytes <= self._limit_bytes:
             return True
-        others_bytes = self._received_bytes - exchange_bytes
+        others_bytes = self.received_bytes - exchange_bytes
         is_alone = others_bytes <= self._limit_bytes * OTHERS_SHARE
         return is_alone or exchange_bytes <= SMALL_ANSWER_BYTES
 
     def release(self, exchange_bytes: int) -> None:
         """Discount an exchange that is over."""
-        self._received_bytes -= exchange_bytes
+        self.received_bytes -= exchange_bytes
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -7,6 +7,7 @@
 import pytest
 
 from burdockmill.clients.catalog_source import StoreError
+from burdockmill.clients.receive_budget import ReceiveBudget
 from burdockmill.forwarding.messages import AttemptEnd
 from burdockmill.platform.store_source import StoreSource
 from tests.builders_platform import StandinUpstream
@@ -94,6 +95,19 @@
     assert (await caller.send()).end is AttemptEnd.ANSWERED
 
 
+# Guards against a budget that failed answers make larger, until it bounds nothing.
+@pytest.mark.parametrize("name", STREAMS)
+async def test_no_byte_of_an_endless_answer_is_left_in_the_budget(upstream, name):
+    budget = ReceiveBudget()
+    caller = Caller(upstream, budget=budget)
+    for _ in range(3):
+        upstream.script = EndlessWriter(*STREAMS[name]).script
+        outcome = await caller.send(left_ms=HANG_MS)
+        assert outcome.end is AttemptEnd.WRONG_ANSWER
+        assert budget.received_bytes == 0
+    await caller.client.close()
+
+
 @pytest.mark.parametrize("name", ["headers", "body_without_a_length"])
 async def test_a_slow_endless_answer_ends_with_its_attempt(upstream, caller, name):
     """A stream of a byte now and then stays below each bound in bytes."""
--- a/tests/test_forwarding_client.py
+++ b/tests/test_forwarding_client.py
@@ -26,7 +26,7 @@
 class Caller:
     """Send attempts to one stand-in upstream."""
 
-    def __init__(self, upstream, limit=2):
+    def __init__(self, upstream, limit=2, budget=None):
         self.upstream = upstream
         self.clock = MonotonicClock()
         self.keeps_idle = True
@@ -35,6 +35,7 @@
             self.clock,
             lambda _: limit,
             lambda _: self.keeps_idle,
+            budget,
         )
         self.number = 0
 
