Do not take a delay of this process for one of a connection

Callers got 503 beside endless answers, though the one upstream of their service was idle: "no connection in time".

Cause: the event loop runs timers before it looks at connections. After work of more than 300 ms the timer of an attempt fired first and ended a connection that was ready. The tests of links, which tell whether a host is isolated, had the same fault at 150 and 300 ms.

A timer that fires late now waits once more for as long as it was late, three times at most.

Cost: a host that is late each time gives up on a connection after up to four times the limit.

--- a/burdockmill/clients/_upstream_pool.py
+++ b/burdockmill/clients/_upstream_pool.py
@@ -8,6 +8,7 @@
 
 from aiohttp import ClientError
 
+from burdockmill.clients._connect_timer import connect_timeout
 from burdockmill.clients._lifo_connector import (
     NO_TIMEOUT,
     LifoConnector,
@@ -25,9 +26,9 @@
 WARM_UP_TIMEOUT_S = 1.0
 SPARE_CONNECTIONS = 2
 # A round trip between regions, with time for a busy upstream to accept.
-LINK_TEST_TIMEOUT_S = 0.15
+LINK_TEST_TIMEOUT_MS = 150.0
 # A machine that runs replies to a connection sooner, also when the upstream is busy.
-SILENCE_TEST_TIMEOUT_S = 0.3
+SILENCE_TEST_TIMEOUT_MS = 300.0
 
 
 class UpstreamPool:
@@ -75,7 +76,7 @@
     async def test_link(self) -> bool:
         """Return whether the upstream accepts another connection soon."""
         try:
-            async with asyncio.timeout(LINK_TEST_TIMEOUT_S):
+            async with connect_timeout(LINK_TEST_TIMEOUT_MS):
                 await self.connector.open_new(self._session.route)
         except (TimeoutError, ClientError, OSError):
             self._counts["link_tests_failed"] += 1
@@ -85,7 +86,7 @@
     async def test_silence(self) -> LinkState:
         """Return whether the upstream replies at all to another connection."""
         try:
-            async with asyncio.timeout(SILENCE_TEST_TIMEOUT_S):
+            async with connect_timeout(SILENCE_TEST_TIMEOUT_MS):
                 await self.connector.open_new(self._session.route)
         except TimeoutError:
             self._counts["silence_tests_unanswered"] += 1
--- a/burdockmill/clients/forwarding_client.py
+++ b/burdockmill/clients/forwarding_client.py
@@ -4,11 +4,13 @@
 
 import asyncio
 from collections import Counter
+from functools import partial
 from typing import TYPE_CHECKING
 
 from aiohttp import ClientConnectionError, ClientError, ClientPayloadError
 from loguru import logger
 
+from burdockmill.clients._connect_timer import ConnectTimer
 from burdockmill.clients._ranked_waiters import WAITER_RANK
 from burdockmill.clients._upstream_codec import WrongAnswerError
 from burdockmill.clients._upstream_pool import UpstreamPool
@@ -34,7 +36,6 @@
     from burdockmill.forwarding.messages import ForwardedRequest, Registration
     from burdockmill.names import UpstreamId
 
-MILLISECONDS_PER_SECOND = 1_000
 # Connecting takes one round trip and a few milliseconds at the upstream. An upstream
 # that takes longer is unreachable; nothing was sent yet, so giving up is safe.
 CONNECT_TIMEOUT_MS = 300.0
@@ -179,12 +180,9 @@
             self.counts["foreign_answers_skipped"] += stated is Ownership.OTHER
             return stated
 
-        loop = asyncio.get_running_loop()
         with pool.use(self._keeps_idle(action.upstream)) as session:
-            connect_timer = loop.call_later(
-                CONNECT_TIMEOUT_MS / MILLISECONDS_PER_SECOND,
-                _cancel_if_not_written,
-                attempt,
+            connect_timer = ConnectTimer(
+                CONNECT_TIMEOUT_MS, partial(_cancel_if_not_written, attempt)
             )
             try:
                 response = await session.exchange(
--- a/burdockmill/clients/relay_client.py
+++ b/burdockmill/clients/relay_client.py
@@ -10,6 +10,7 @@
 from aiohttp import ClientError, hdrs
 from loguru import logger
 
+from burdockmill.clients._connect_timer import ConnectTimer
 from burdockmill.clients._upstream_codec import WrongAnswerError
 from burdockmill.clients._upstream_pool import UpstreamPool
 from burdockmill.clients.receive_budget import ReceiveBudget
@@ -36,7 +37,6 @@
     from burdockmill.relay.actions import SendRelay
     from burdockmill.relay.messages import CatalogVersion
 
-MILLISECONDS_PER_SECOND = 1_000
 # Connecting takes one round trip; nothing was sent yet, so giving up is safe.
 CONNECT_TIMEOUT_MS = 300.0
 CONNECTIONS_PER_HOST = 64
@@ -164,11 +164,8 @@
             if not relay.written:
                 relay.cancel()
 
-        loop = asyncio.get_running_loop()
         with self._pool_of(address).use() as session:
-            timer = loop.call_later(
-                CONNECT_TIMEOUT_MS / MILLISECONDS_PER_SECOND, give_up
-            )
+            timer = ConnectTimer(CONNECT_TIMEOUT_MS, give_up)
             try:
                 body = encode(head, request.body)
                 response = await session.post(
