Do not keep large answers waiting for what a slow one has not sent

Found on reading again: an upstream that states a large size and then stalls kept the room for all of it until its attempt ended, and on a host of 100 MB all other answers over 32 KiB waited for it.

An answer of which less than 32 KiB came in a tenth of a second, read or not, now counts as what has come.

test_no_answer_waits_for_what_slow_ones_have_not_sent fails before in both cases and passes now.

--- a/burdockmill/clients/receive_budget.py
+++ b/burdockmill/clients/receive_budget.py
@@ -132,5 +132,5 @@
         self._is_scheduled = False
         if self._turns is None:
             return
-        self._turns.admit(self._expected_bytes)
+        self._turns.admit()
         self._schedule()
--- a/tests/builders_receiving.py
+++ b/tests/builders_receiving.py
@@ -9,10 +9,14 @@
 class SimulatedReceiver(Receiver):
     """Receive an answer: all but its end at once, the end after `end_after_s`.
 
-    Without a size the answer has no end, and its bytes always wait to be read.
+    Without a size the answer has no end, and its bytes always wait to be read. A slow
+    one sends a byte at a time.
     """
 
-    def __init__(self, size_bytes=None, end_after_s=0.0, states_size=True):
+    def __init__(
+        self, size_bytes=None, end_after_s=0.0, states_size=True, is_slow=False
+    ):
+        self.is_slow = is_slow
         self.size_bytes = size_bytes
         self.end_at_tick = round(end_after_s / TICK_S)
         self.states_size = states_size
@@ -40,7 +44,9 @@
         self.was_cut_off = True
 
     def arrive(self, tick):
-        if self.size_bytes is None:
+        if self.is_slow:
+            self.arrived_bytes = self.received_bytes + 1
+        elif self.size_bytes is None:
             self.arrived_bytes = self.received_bytes + READ_BYTES
         else:
             self.arrived_bytes = self.size_bytes - (tick < self.end_at_tick)
--- a/tests/test_receive_budget.py
+++ b/tests/test_receive_budget.py
@@ -48,6 +48,19 @@
     assert any(answer.is_held for answer in stalled)
 
 
+# Guards against one faulty upstream that keeps the large answers of all others waiting.
+@pytest.mark.parametrize("slow_size_bytes", [1_000_000, RESPONSE_LIMIT_BYTES])
+def test_no_answer_waits_for_what_slow_ones_have_not_sent(slow_size_bytes):
+    reading = Reading(LIMIT_BYTES)
+    reading.start(SimulatedReceiver(slow_size_bytes, is_slow=True) for _ in range(10))
+    reading.play(0.5)
+    sound = [SimulatedReceiver(500_000, end_after_s=1.0) for _ in range(20)]
+    reading.start(sound)
+    reading.play(2.0)
+    assert all(answer.received_bytes == answer.size_bytes for answer in sound)
+    assert reading.budget.counts["cut_off"] == 0
+
+
 # Guards against a host that keeps all bytes of many endless answers.
 def test_endless_answers_are_cut_off_and_sound_ones_beside_them_are_not():
     reading = Reading(LIMIT_BYTES)
